--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cstdio>
+
+#include <unistd.h>
 
 #include "base/clock.h"
+#include "base/log_writer.h"
 #include "base/name_table.h"
 
 namespace daisypond::base {
@@ -19,6 +21,12 @@
 
 std::atomic<LogLevel> g_level = LogLevel::kInfo;
 
+// Started by the first line, so that a process that logs nothing has no thread.
+LogWriter& Writer() {
+  static LogWriter writer(STDOUT_FILENO, LogWriterOptions{});
+  return writer;
+}
+
 bool IsPlain(char c) {
   return c > ' ' && c < 0x7f && c != '"' && c != '\\' && c != '=';
 }
@@ -61,7 +69,11 @@
     buf += fmt::format(" {}={}", it.key, EscapeLogValue(it.value));
   }
   buf += '\n';
-  std::fwrite(buf.data(), 1, buf.size(), stderr);
+  Writer().Push(buf, Clock::Now());
+}
+
+int64_t DroppedLogLines() {
+  return Writer().Dropped();
 }
 
 }  // namespace daisypond::base
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -26,11 +26,15 @@
 /// Lines below this level are not written.
 void SetLogLevel(LogLevel level);
 
-/// Writes one line of key=value pairs to standard error in one call.
+/// Hands one line of key=value pairs to the writer of standard output. Never
+/// blocks: lines beyond the writer's bounds are dropped and counted.
 void Log(LogLevel level,
          std::string_view event,
          std::initializer_list<LogField> fields = {});
 
+/// Lines that were dropped since the process started.
+int64_t DroppedLogLines();
+
 /// Quotes a value that holds spaces, quotes or control characters, so that no
 /// input can add a line or a pair to the log.
 std::string EscapeLogValue(std::string_view value);
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -33,9 +33,20 @@
   kPeerBytes,
   kConfigurationChanges,
   kStreamsCut,
+  kForwarded,
+  kSends,
+  kEventsRelayed,
+  kConnectionsOpened,
+  kCallersGone,
+  kStreamsResumed,
+  kStreamsResumedFromCopy,
+  kAnswersForeign,
+  kStoreCalls,
+  kTargetsUnreadable,
+  kConfigurationsUnreadable,
 };
 
-inline constexpr NameTable<Counter, 18> kCounterNames(
+inline constexpr NameTable<Counter, 29> kCounterNames(
     "requests_total",
     "generations_total",
     "tokens_relayed_total",
@@ -53,7 +64,18 @@
     "peer_messages_total",
     "peer_bytes_total",
     "configuration_changes_total",
-    "streams_cut_total");
+    "streams_cut_total",
+    "forwarded_requests_total",
+    "sends_total",
+    "events_relayed_total",
+    "connections_opened_total",
+    "callers_gone_total",
+    "streams_resumed_total",
+    "streams_resumed_from_copy_total",
+    "answers_foreign_total",
+    "store_calls_total",
+    "targets_unreadable_total",
+    "configurations_unreadable_total");
 
 /// Latency histograms, in milliseconds.
 enum class Timer : uint8_t {
@@ -63,14 +85,22 @@
   kCopyAcknowledged,
   kClaim,
   kCall,
+  kFirstEvent,
+  kEventGap,
+  kStreamPause,
+  kForward,
 };
 
-inline constexpr NameTable<Timer, 6> kTimerNames("first_token_ms",
-                                                 "inter_token_ms",
-                                                 "resume_ms",
-                                                 "copy_acknowledged_ms",
-                                                 "claim_ms",
-                                                 "call_ms");
+inline constexpr NameTable<Timer, 10> kTimerNames("first_token_ms",
+                                                  "inter_token_ms",
+                                                  "resume_ms",
+                                                  "copy_acknowledged_ms",
+                                                  "claim_ms",
+                                                  "call_ms",
+                                                  "first_event_ms",
+                                                  "event_gap_ms",
+                                                  "stream_pause_ms",
+                                                  "forward_ms");
 
 /// Properties that hold in every run; each check is counted.
 enum class Invariant : uint8_t {
@@ -87,9 +117,12 @@
   kConfigurationNeverReverts,
   kSoleSuspectCondemned,
   kFencingNumberGrows,
+  kSentOnceUnlessRepeatable,
+  kEventsContiguous,
+  kSuccessIsSealed,
 };
 
-inline constexpr NameTable<Invariant, 13> kInvariantNames(
+inline constexpr NameTable<Invariant, 16> kInvariantNames(
     "token_index_contiguous",
     "digest_continues",
     "one_attempt_appends",
@@ -102,7 +135,10 @@
     "planned_stop_cuts_nothing",
     "configuration_never_reverts",
     "sole_suspect_condemned",
-    "fencing_number_grows");
+    "fencing_number_grows",
+    "sent_once_unless_repeatable",
+    "events_contiguous",
+    "success_is_sealed");
 
 /// Counters and histograms of one process. All members are thread-safe.
 class Metrics {
--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -53,9 +53,13 @@
   kUnauthorizedOperator,
   kSuspected,
   kCallerGone,
+  kUnknownRoute,
+  kHeaderTooLarge,
+  kAnswerTorn,
+  kErrorAnswer,
 };
 
-inline constexpr NameTable<Reason, 31> kReasonNames("none",
+inline constexpr NameTable<Reason, 35> kReasonNames("none",
                                                     "bad_request",
                                                     "body_too_large",
                                                     "unauthorized",
@@ -85,7 +89,11 @@
                                                     "internal",
                                                     "unauthorized_operator",
                                                     "suspected",
-                                                    "caller_gone");
+                                                    "caller_gone",
+                                                    "unknown_route",
+                                                    "header_too_large",
+                                                    "answer_torn",
+                                                    "error_answer");
 
 /// What a verdict speaks of.
 enum class Scope : uint8_t {
--- a/src/calls/claim_ledger.h
+++ b/src/calls/claim_ledger.h
@@ -9,14 +9,14 @@
 #include "base/metrics.h"
 #include "calls/claim.h"
 #include "calls/group_committer.h"
-#include "platform/table_message.h"
+#include "store/table_message.h"
 
 namespace daisypond::calls {
 
 /// Grants the right to dispatch a non-idempotent call, at most once for each
 /// key in the whole deployment. The table service decides; nobody takes over
 /// a claim of another.
-template <platform::TableService Table>
+template <store::TableService Table>
 class ClaimLedger {
  public:
   ClaimLedger(Table* table,
@@ -50,8 +50,8 @@
   }
 
   /// Records the answer of a dispatched call for repeats of its key.
-  platform::StoreOutcome RecordAnswer(const Claim& claim,
-                                      const CallAnswer& answer) {
+  store::StoreOutcome RecordAnswer(const Claim& claim,
+                                   const CallAnswer& answer) {
     ClaimRow row = claim.Row();
     row.state = ClaimState::kDone;
     row.answer = answer;
@@ -61,11 +61,11 @@
 
   /// Makes the key dead after a call that was never dispatched. Only
   /// kCommitted makes `not_run` true for every try of the key.
-  platform::StoreOutcome Abandon(const Claim& claim) {
+  store::StoreOutcome Abandon(const Claim& claim) {
     const bool may_abandon = metrics_->Check(
         base::Invariant::kNotRunNeverDispatched, !claim.IsDispatched());
     if (!may_abandon) {
-      return platform::StoreOutcome::kNotReached;
+      return store::StoreOutcome::kNotReached;
     }
     ClaimRow row = claim.Row();
     row.state = ClaimState::kAbandoned;
@@ -84,10 +84,10 @@
     const auto outcome =
         committer_.Write({request.table_key, ToJson(row), expected_version});
     ClaimResult result;
-    if (outcome == platform::StoreOutcome::kCommitted) {
+    if (outcome == store::StoreOutcome::kCommitted) {
       result.outcome = ClaimOutcome::kGranted;
       result.claim = Claim(request, std::move(row), expected_version + 1);
-    } else if (outcome == platform::StoreOutcome::kConflict) {
+    } else if (outcome == store::StoreOutcome::kConflict) {
       result.outcome = ClaimOutcome::kInProgress;
     } else {
       result.outcome = ClaimOutcome::kStoreUnavailable;
--- a/src/calls/claim_ledger_test.cc
+++ b/src/calls/claim_ledger_test.cc
@@ -69,7 +69,7 @@
 
   void TestAbandonedKeyIsDeadForEarlierTries() {
     const auto second = b_.Acquire(Try(2));
-    EXPECT(b_.Abandon(second.claim) == platform::StoreOutcome::kCommitted);
+    EXPECT(b_.Abandon(second.claim) == store::StoreOutcome::kCommitted);
     // The first try was paused all the while and goes on now.
     EXPECT(a_.Acquire(Try(1)).outcome == ClaimOutcome::kAbandoned);
     EXPECT(a_.Acquire(Try(2)).outcome == ClaimOutcome::kAbandoned);
@@ -104,8 +104,7 @@
     auto granted = ledger.Acquire(Try(1));
     EXPECT(granted.claim.MarkDispatched());
     EXPECT(!granted.claim.MarkDispatched());
-    EXPECT(ledger.Abandon(granted.claim) ==
-           platform::StoreOutcome::kNotReached);
+    EXPECT(ledger.Abandon(granted.claim) == store::StoreOutcome::kNotReached);
     EXPECT_EQ(int64_t{1},
               metrics.Violated(base::Invariant::kNotRunNeverDispatched));
   }
@@ -192,7 +191,7 @@
         }
         if (random() % 4 == 0) {
           if (it.ledger->Abandon(it.result.claim) ==
-              platform::StoreOutcome::kCommitted) {
+              store::StoreOutcome::kCommitted) {
             is_told_not_run = true;
             told_up_to = std::max(told_up_to, it.attempt);
           }
--- a/src/calls/group_committer.h
+++ b/src/calls/group_committer.h
@@ -12,7 +12,7 @@
 
 #include "base/clock.h"
 #include "base/metrics.h"
-#include "platform/table_message.h"
+#include "store/table_message.h"
 
 namespace daisypond::calls {
 
@@ -29,7 +29,7 @@
 
 /// Puts the conditional writes of many threads into few transactions: the
 /// store counts transactions, and takes only some hundreds a second.
-template <platform::TableService Table>
+template <store::TableService Table>
 class GroupCommitter {
  public:
   GroupCommitter(Table* table,
@@ -53,7 +53,7 @@
 
   /// Writes one row. The value must differ from every other write to the
   /// row, since it tells this write from another one after a lost answer.
-  platform::StoreOutcome Write(platform::ConditionalWrite write) {
+  store::StoreOutcome Write(store::ConditionalWrite write) {
     Pending pending{std::move(write), {}};
     auto outcome = pending.outcome.get_future();
     {
@@ -66,8 +66,8 @@
 
  private:
   struct Pending {
-    platform::ConditionalWrite write;
-    std::promise<platform::StoreOutcome> outcome;
+    store::ConditionalWrite write;
+    std::promise<store::StoreOutcome> outcome;
   };
   using Batch = std::vector<Pending>;
 
@@ -111,22 +111,22 @@
       metrics_->Add(base::Counter::kClaimTransactions);
       const auto result = table_->Transact(WritesOf(batch));
       switch (result.outcome) {
-        case platform::StoreOutcome::kCommitted:
-          Answer(&batch, platform::StoreOutcome::kCommitted);
+        case store::StoreOutcome::kCommitted:
+          Answer(&batch, store::StoreOutcome::kCommitted);
           return;
-        case platform::StoreOutcome::kUnknown:
+        case store::StoreOutcome::kUnknown:
           ReadBack(std::move(batch));
           return;
-        case platform::StoreOutcome::kConflict:
+        case store::StoreOutcome::kConflict:
           // Refuses the named rows; the others go again in the next turn.
           if (!RemoveConflicts(result.conflicts, &batch)) {
-            Answer(&batch, platform::StoreOutcome::kUnknown);
+            Answer(&batch, store::StoreOutcome::kUnknown);
             return;
           }
           break;
-        case platform::StoreOutcome::kNotReached:
+        case store::StoreOutcome::kNotReached:
           if (i >= options_.maximum_tries) {
-            Answer(&batch, platform::StoreOutcome::kNotReached);
+            Answer(&batch, store::StoreOutcome::kNotReached);
             return;
           }
           std::this_thread::sleep_for(options_.refusal_pause.ToChrono());
@@ -135,15 +135,15 @@
     }
   }
 
-  static std::vector<platform::ConditionalWrite> WritesOf(const Batch& batch) {
-    std::vector<platform::ConditionalWrite> writes;
+  static std::vector<store::ConditionalWrite> WritesOf(const Batch& batch) {
+    std::vector<store::ConditionalWrite> writes;
     for (const Pending& it : batch) {
       writes.push_back(it.write);
     }
     return writes;
   }
 
-  static void Answer(Batch* batch, platform::StoreOutcome outcome) {
+  static void Answer(Batch* batch, store::StoreOutcome outcome) {
     for (Pending& it : *batch) {
       it.outcome.set_value(outcome);
     }
@@ -176,30 +176,30 @@
       keys.push_back(it.write.key);
     }
     constexpr int kMaximumReads = 3;
-    platform::ReadResult read;
+    store::ReadResult read;
     for (int i = 0; i < kMaximumReads && !read.IsRead(); ++i) {
       read = table_->Read(keys);
     }
     for (size_t i = 0; i < batch.size(); ++i) {
       Pending& it = batch[i];
       if (!read.IsRead()) {
-        it.outcome.set_value(platform::StoreOutcome::kUnknown);
+        it.outcome.set_value(store::StoreOutcome::kUnknown);
         continue;
       }
       it.outcome.set_value(Judge(it.write, read.rows[i]));
     }
   }
 
-  static platform::StoreOutcome Judge(const platform::ConditionalWrite& write,
-                                      const platform::Row& row) {
+  static store::StoreOutcome Judge(const store::ConditionalWrite& write,
+                                   const store::Row& row) {
     if (row.value == write.value && row.version > write.expected_version) {
-      return platform::StoreOutcome::kCommitted;
+      return store::StoreOutcome::kCommitted;
     }
     if (row.version > write.expected_version) {
-      return platform::StoreOutcome::kConflict;
+      return store::StoreOutcome::kConflict;
     }
     // The write may still be on its way to the store.
-    return platform::StoreOutcome::kUnknown;
+    return store::StoreOutcome::kUnknown;
   }
 
   Table* table_;
--- /dev/null
+++ b/src/catalog/table_watcher.h
@@ -0,0 +1,160 @@
+#ifndef DAISYPOND_CATALOG_TABLE_WATCHER_H_
+#define DAISYPOND_CATALOG_TABLE_WATCHER_H_
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "catalog/row.h"
+
+namespace daisypond::catalog {
+
+struct TableWatcherOptions {
+  std::string table;
+  /// How long one call may wait for a change. Shorter waits notice a silent
+  /// connection sooner and cost more calls.
+  base::Millis wait{5000};
+  /// Pause after a change, so that changes that come together share a call.
+  base::Millis gather{300};
+  /// First and longest pause after a failed call. The longest is well under
+  /// the two seconds within which lapsed entries are back.
+  base::Millis first_backoff{100};
+  base::Millis longest_backoff{700};
+};
+
+/// What a watcher tells. Called on the watcher's thread.
+struct TableEvents {
+  std::function<void(const std::vector<Row>&)> on_listed;
+  std::function<void(const std::vector<Row>&)> on_changed;
+  std::function<void()> on_answered;
+  std::function<void(ReadFault)> on_away;
+};
+
+/// Keeps up with one table: reads it as a whole, then waits for changes, and
+/// reads it again when the changes are no longer kept.
+template <TableReader Reader>
+class TableWatcher {
+ public:
+  TableWatcher(Reader* reader, TableWatcherOptions options, TableEvents events)
+      : reader_(reader),
+        options_(std::move(options)),
+        events_(std::move(events)) {}
+
+  /// Runs until the io_context stops.
+  boost::asio::awaitable<void> Run() {
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    while (true) {
+      const base::Millis pause = co_await Step();
+      if (pause.count > 0) {
+        timer.expires_after(pause.ToChrono());
+        co_await timer.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+      }
+    }
+  }
+
+ private:
+  /// Makes one call. Returns how long to pause before the next.
+  boost::asio::awaitable<base::Millis> Step() {
+    if (!is_listed_) {
+      co_return co_await ListAll();
+    }
+    const ReadResult result =
+        co_await reader_->Changes(options_.table, version_, options_.wait);
+    if (!result) {
+      co_return OnFault(result.error());
+    }
+    OnAnswer();
+    version_ = result->version;
+    if (result->rows.empty()) {
+      co_return base::Millis{0};
+    }
+    events_.on_changed(result->rows);
+    co_return options_.gather;
+  }
+
+  boost::asio::awaitable<base::Millis> ListAll() {
+    std::vector<Row> rows;
+    std::string from;
+    uint64_t version = 0;
+    bool has_more = true;
+    while (has_more) {
+      const ReadResult page = co_await reader_->List(options_.table, from);
+      if (!page) {
+        co_return OnFault(page.error());
+      }
+      // Changes made between two pages are read again from the first page's
+      // version.
+      version = version == 0 ? page->version : version;
+      rows.insert(rows.end(), page->rows.begin(), page->rows.end());
+      has_more = page->has_more && !page->rows.empty();
+      if (has_more) {
+        // The range includes its first key; the next key in byte order.
+        from = page->rows.back().key + '\0';
+      }
+    }
+    if (version < version_) {
+      // A copy of the table that lags behind what was read before.
+      co_return OnFault(ReadFault::kOutdated);
+    }
+    OnAnswer();
+    version_ = version;
+    is_listed_ = true;
+    events_.on_listed(rows);
+    co_return base::Millis{0};
+  }
+
+  void OnAnswer() {
+    backoff_ = options_.first_backoff;
+    events_.on_answered();
+    if (is_away_) {
+      is_away_ = false;
+      base::Log(base::LogLevel::kInfo, "store_regained",
+                {{"table", options_.table}, {"version", version_}});
+    }
+  }
+
+  base::Millis OnFault(ReadFault fault) {
+    if (fault == ReadFault::kHistoryGone) {
+      is_listed_ = false;
+      base::Log(base::LogLevel::kInfo, "store_history_gone",
+                {{"table", options_.table}, {"version", version_}});
+      return {0};
+    }
+    events_.on_away(fault);
+    if (!is_away_) {
+      is_away_ = true;
+      base::Log(base::LogLevel::kWarning, "store_lost",
+                {{"table", options_.table},
+                 {"reason", kReadFaultNames.NameOf(fault)},
+                 {"version", version_}});
+    }
+    const base::Millis pause{
+        backoff_.count / 2 +
+        static_cast<int64_t>(base::RandomNumber() %
+                             static_cast<uint64_t>(backoff_.count))};
+    backoff_ = std::min(backoff_ * 2, options_.longest_backoff);
+    return pause;
+  }
+
+  Reader* reader_;
+  TableWatcherOptions options_;
+  TableEvents events_;
+  uint64_t version_ = 0;
+  bool is_listed_ = false;
+  bool is_away_ = false;
+  base::Millis backoff_ = options_.first_backoff;
+};
+
+}  // namespace daisypond::catalog
+
+#endif  // DAISYPOND_CATALOG_TABLE_WATCHER_H_
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -10,7 +10,7 @@
 #include "base/name_table.h"
 #include "http/client.h"
 #include "intents/publisher.h"
-#include "platform/platform_client.h"
+#include "store/store_client.h"
 
 namespace daisypond::ctl {
 
@@ -56,8 +56,7 @@
   ExitCode History();
 
  private:
-  using Publisher =
-      intents::Publisher<platform::PlatformClient, platform::PlatformClient>;
+  using Publisher = intents::Publisher<store::StoreClient, store::StoreClient>;
 
   void Print(const std::string& text, const base::Json& value) const;
   ExitCode Complain(const yaml::Error& error) const;
@@ -69,7 +68,7 @@
 
   Options options_;
   http::Client client_;
-  platform::PlatformClient platform_;
+  store::StoreClient platform_;
   Publisher publisher_;
 };
 
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -18,7 +18,7 @@
 using base::Reason;
 using calls::CallAnswer;
 using calls::ClaimOutcome;
-using platform::StoreOutcome;
+using store::StoreOutcome;
 
 constexpr std::string_view kPathPrefix = "/v1/services/";
 constexpr base::Millis kRetryAfter{1000};
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -94,13 +94,13 @@
     contact(it);
   }
   instance_->platform.ListInstancesAsync(
-      [this, contact](
-          const std::optional<std::vector<platform::ListedInstance>>& list) {
+      [this,
+       contact](const std::optional<std::vector<store::ListedInstance>>& list) {
         if (!list) {
           return;
         }
         instance_->control.Post([contact, list = *list] {
-          for (const platform::ListedInstance& it : list) {
+          for (const store::ListedInstance& it : list) {
             contact(it.peer_address);
           }
         });
--- a/src/entry/instance.h
+++ b/src/entry/instance.h
@@ -20,8 +20,8 @@
 #include "membership/copy_peers.h"
 #include "membership/peer_directory.h"
 #include "peer/peer_client.h"
-#include "platform/platform_client.h"
 #include "routing/target_table.h"
+#include "store/store_client.h"
 #include "suspects/suspect_board.h"
 
 namespace daisypond::entry {
@@ -70,8 +70,8 @@
   // the other.
   http::Client traffic_client;
   http::Client control_client;
-  platform::PlatformClient platform;
-  platform::PlatformClient claims_platform;
+  store::StoreClient platform;
+  store::StoreClient claims_platform;
   intents::Follower follower;
   routing::TargetTable targets;
   admission::ResumeReserve resume_reserve;
@@ -82,7 +82,7 @@
   generation::GapTable gaps;
   membership::PeerDirectory peers;
   peer::PeerClient peer_client;
-  calls::ClaimLedger<platform::PlatformClient> ledger;
+  calls::ClaimLedger<store::StoreClient> ledger;
 
  private:
   /// With no peer heard of for so long, the instance counts as alone.
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -1,4 +1,7 @@
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -13,7 +16,10 @@
 #include "entry/server.h"
 #include "entry/settings.h"
 #include "entry/tls.h"
+#include "gateway/serve.h"
+#include "gateway/settings.h"
 #include "peer/peer_server.h"
+#include "yaml/node.h"
 
 namespace {
 
@@ -96,14 +102,48 @@
   return status;
 }
 
+/// The file's path from an environment variable.
+std::string ValueOfVariable(const std::string& name) {
+  const char* value = std::getenv(name.c_str());
+  if (value == nullptr) {
+    throw CLI::ValidationError("--config-variable", name + " is not set");
+  }
+  return value;
+}
+
+/// True when the settings ask for the forwarding interface.
+bool IsForwarding(const std::string& file) {
+  const std::ifstream stream(file);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  const auto node = daisypond::yaml::Parse(file, text.str());
+  const daisypond::yaml::Node* it = node ? node->Find("interface") : nullptr;
+  return it != nullptr && it->scalar == "forward";
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   CLI::App app("daisypond-entry: an entry instance of daisypond");
   std::string config;
-  app.add_option("--config", config, "settings file (YAML)")->required();
+  auto* source = app.add_option_group("settings");
+  source->add_option("--config", config, "settings file (YAML)");
+  source
+      ->add_option("--config-variable", config,
+                   "environment variable that holds the file's path")
+      ->transform(ValueOfVariable);
+  source->require_option(1);
   app.set_version_flag("--version", daisypond::base::kVersion);
   CLI11_PARSE(app, argc, argv);
+  if (IsForwarding(config)) {
+    const auto forwarding = daisypond::gateway::ReadSettings(config);
+    if (!forwarding) {
+      fmt::print(stderr, "{}\n", forwarding.error().ToString());
+      return kBadSettings;
+    }
+    daisypond::base::SetLogLevel(forwarding->log_level);
+    return daisypond::gateway::Serve(config, *forwarding);
+  }
   const auto settings = daisypond::entry::ReadSettings(config);
   if (!settings) {
     fmt::print(stderr, "{}\n", settings.error().ToString());
--- a/src/entry/order_worker.h
+++ b/src/entry/order_worker.h
@@ -24,7 +24,7 @@
   OrderWorker& operator=(const OrderWorker&) = delete;
 
  private:
-  using Keeper = orders::LeaseKeeper<platform::PlatformClient>;
+  using Keeper = orders::LeaseKeeper<store::StoreClient>;
 
   void Run();
   void Advance(const routing::TargetView& target);
--- /dev/null
+++ b/src/forward/answer_reader.h
@@ -0,0 +1,74 @@
+#ifndef DAISYPOND_FORWARD_ANSWER_READER_H_
+#define DAISYPOND_FORWARD_ANSWER_READER_H_
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "base/name_table.h"
+#include "forward/target_connection.h"
+
+namespace daisypond::forward {
+
+namespace bhttp = boost::beast::http;
+
+/// How a read from a target ended.
+enum class ReadStatus : uint8_t {
+  /// Bytes came, maybe none, and more may follow.
+  kMore,
+  /// The answer is whole.
+  kDone,
+  /// The time limit passed; the connection can still be read.
+  kTimedOut,
+  /// Closed, reset, or bytes that are no answer.
+  kBroken,
+};
+
+inline constexpr base::NameTable<ReadStatus, 4> kReadStatusNames("more",
+                                                                 "done",
+                                                                 "timed_out",
+                                                                 "broken");
+
+/// Reads one answer from a target's connection.
+class AnswerReader {
+ public:
+  /// `has_body` is false for answers to HEAD.
+  AnswerReader(std::shared_ptr<TargetConnection> connection, bool has_body);
+
+  /// Reads the header by `limit`. kMore: the header is read.
+  net::asio::awaitable<ReadStatus> ReadHead(base::Millis limit);
+
+  /// Reads a part of the body by `limit` and appends it to `into`.
+  net::asio::awaitable<ReadStatus> ReadSome(std::string* into,
+                                            base::Millis limit);
+
+  unsigned Status() const { return parser_->get().result_int(); }
+  std::string_view ReasonPhrase() const;
+  const bhttp::fields& Fields() const { return parser_->get(); }
+
+  /// The body's end is told by its length or its chunks.
+  bool IsFramed() const { return !parser_->need_eof(); }
+
+  /// Another request may follow on the connection.
+  bool IsKeptAlive() const { return parser_->keep_alive(); }
+
+ private:
+  using Parser = bhttp::response_parser<bhttp::buffer_body>;
+
+  // Holds an event of a stream, or a plain answer, in most cases.
+  static constexpr size_t kReadBytes = 8192;
+
+  std::shared_ptr<TargetConnection> connection_;
+  bool has_body_;
+  std::optional<Parser> parser_;
+};
+
+}  // namespace daisypond::forward
+
+#endif  // DAISYPOND_FORWARD_ANSWER_READER_H_
--- /dev/null
+++ b/src/forward/caller_channel.h
@@ -0,0 +1,68 @@
+#ifndef DAISYPOND_FORWARD_CALLER_CHANNEL_H_
+#define DAISYPOND_FORWARD_CALLER_CHANNEL_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/fields.hpp>
+
+#include "net/timed_socket.h"
+
+namespace daisypond::forward {
+
+namespace bhttp = boost::beast::http;
+
+/// Whether a caller's connection may carry another request.
+enum class AfterAnswer : uint8_t { kKeepOpen, kClose };
+
+/// A caller's request, read as a whole.
+struct CallerRequest {
+  std::string method;
+  /// The request line's target, byte for byte.
+  std::string target;
+  /// Without fields that concern the connection only.
+  bhttp::fields fields;
+  std::string host;
+  std::string body;
+  bool is_chunked = false;
+  bool has_length = false;
+  bool wants_close = false;
+  bool is_http10 = false;
+  base::Millis arrived_at;
+};
+
+/// The connection of a caller: writes answers and tells when the caller has
+/// left.
+class CallerChannel : public std::enable_shared_from_this<CallerChannel> {
+ public:
+  explicit CallerChannel(net::Tcp::socket socket);
+
+  net::TimedSocket& Socket() { return socket_; }
+  boost::beast::flat_buffer& Buffer() { return buffer_; }
+
+  /// Writes all bytes by `limit`; false when the caller is gone or does not
+  /// read.
+  net::asio::awaitable<bool> Write(std::string_view bytes, base::Millis limit);
+
+  /// Calls `on_gone` once if the caller leaves before StopWatch().
+  void StartWatch(std::function<void()> on_gone);
+  void StopWatch();
+
+  bool IsGone() const { return is_gone_; }
+
+ private:
+  void WaitForInput(uint64_t generation);
+
+  net::TimedSocket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::function<void()> on_gone_;
+  uint64_t watch_generation_ = 0;
+  bool is_gone_ = false;
+};
+
+}  // namespace daisypond::forward
+
+#endif  // DAISYPOND_FORWARD_CALLER_CHANNEL_H_
--- /dev/null
+++ b/src/forward/exchange_limits.h
@@ -0,0 +1,58 @@
+#ifndef DAISYPOND_FORWARD_EXCHANGE_LIMITS_H_
+#define DAISYPOND_FORWARD_EXCHANGE_LIMITS_H_
+
+#include <cstddef>
+
+#include "base/clock.h"
+
+namespace daisypond::forward {
+
+/// A send with less time left can't be answered.
+inline constexpr base::Millis kShortestSend{10};
+/// Round trips take up to 10 ms; a lost first packet costs a second, and
+/// another target is sooner.
+inline constexpr base::Millis kConnectTimeout{300};
+/// A caller that does not read for this long is given up.
+inline constexpr base::Millis kWriteTimeout{5000};
+/// Kept connections are used after at most this time idle.
+inline constexpr base::Millis kLongestIdle{30'000};
+/// Requests that may run once only don't risk a connection that the target
+/// may be closing: it fails them without telling whether they ran.
+inline constexpr base::Millis kLongestIdleForRunOnce{1000};
+/// Refusals by targets before the request is refused.
+inline constexpr int kMaximumRefusals = 4;
+/// Answers to earlier requests that are skipped on one connection.
+inline constexpr int kMaximumForeignAnswers = 3;
+inline constexpr size_t kMaximumSkipBytes = 256u << 10;
+/// Larger answers of plain services are not held in memory.
+inline constexpr size_t kMaximumWholeBytes = 8u << 20;
+/// A first event within this share of the latency aim, in hundredths, leaves
+/// time for a second run within the aim.
+inline constexpr int64_t kFirstEventShare = 50;
+inline constexpr base::Millis kShortestFirstEventBound{1000};
+/// An idempotent call is given up at a target after this multiple of the
+/// latency aim, in hundredths.
+inline constexpr int64_t kCallShare = 150;
+inline constexpr base::Millis kShortestCallBound{200};
+/// A run that goes on from a copy reads only what the copy lacks.
+inline constexpr base::Millis kResumedHeadBound{1000};
+/// Share of the accepted pause, in hundredths, after which a silent target
+/// counts as lost.
+inline constexpr int64_t kSilenceShare = 60;
+/// Where no pause is stated.
+inline constexpr base::Millis kDefaultSilenceBound{2000};
+inline constexpr int64_t kHundred = 100;
+/// A refused caller finds another instance, or a target that is back.
+inline constexpr base::Millis kRefusalRetryAfter{300};
+/// An instance that has just started knows its configuration soon.
+inline constexpr base::Millis kConfigurationRetryAfter{300};
+
+inline constexpr unsigned kFirstSuccess = 200;
+inline constexpr unsigned kNoContent = 204;
+inline constexpr unsigned kNotModified = 304;
+inline constexpr unsigned kFirstRedirect = 300;
+inline constexpr unsigned kFirstServerError = 500;
+
+}  // namespace daisypond::forward
+
+#endif  // DAISYPOND_FORWARD_EXCHANGE_LIMITS_H_
--- /dev/null
+++ b/src/forward/http_text.cc
@@ -0,0 +1,118 @@
+#include "forward/http_text.h"
+
+#include <algorithm>
+#include <cctype>
+#include <vector>
+
+#include <fmt/format.h>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include "forward/send_ledger.h"
+
+namespace daisypond::forward {
+
+namespace {
+
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+void AppendFields(const bhttp::fields& fields, std::string* into) {
+  for (const auto& it : fields) {
+    *into += View(it.name_string());
+    *into += ": ";
+    *into += View(it.value());
+    *into += "\r\n";
+  }
+}
+
+}  // namespace
+
+void RemoveConnectionFields(bhttp::fields* fields) {
+  std::vector<std::string> named;
+  for (const auto& it :
+       bhttp::token_list((*fields)[bhttp::field::connection])) {
+    named.emplace_back(View(it));
+  }
+  for (const std::string& it : named) {
+    if (!boost::beast::iequals(it, "host")) {
+      fields->erase(it);
+    }
+  }
+  for (const char* it :
+       {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+        "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+        "Content-Length", "Expect"}) {
+    fields->erase(it);
+  }
+}
+
+std::string RequestHead(const CallerRequest& request,
+                        const bhttp::fields& fields) {
+  std::string text =
+      fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+  AppendFields(fields, &text);
+  if (request.has_length || request.is_chunked) {
+    text += fmt::format("Content-Length: {}\r\n", request.body.size());
+  }
+  text += "\r\n";
+  return text;
+}
+
+std::string AnswerHead(unsigned status,
+                       std::string_view reason_phrase,
+                       bhttp::fields fields,
+                       Framing framing,
+                       size_t length,
+                       AfterAnswer after) {
+  std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, reason_phrase);
+  AppendFields(fields, &text);
+  if (framing == Framing::kLength) {
+    text += fmt::format("Content-Length: {}\r\n", length);
+  } else if (framing == Framing::kChunked) {
+    text += "Transfer-Encoding: chunked\r\n";
+  }
+  if (after == AfterAnswer::kClose) {
+    text += "Connection: close\r\n";
+  }
+  text += "\r\n";
+  return text;
+}
+
+std::string Chunk(std::string_view bytes) {
+  return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+std::string VerdictAnswer(const base::Verdict& verdict, AfterAnswer after) {
+  const auto status = static_cast<unsigned>(StatusOf(verdict));
+  bhttp::fields fields;
+  fields.set(bhttp::field::content_type, "application/json");
+  if (verdict.retry_after.count > 0) {
+    constexpr double kMillisPerSecond = 1000;
+    fields.set(
+        bhttp::field::retry_after,
+        fmt::format("{:.3f}", static_cast<double>(verdict.retry_after.count) /
+                                  kMillisPerSecond));
+  }
+  const std::string body = base::ToJson(verdict);
+  return AnswerHead(
+             status,
+             View(bhttp::obsolete_reason(static_cast<bhttp::status>(status))),
+             fields, Framing::kLength, body.size(), after) +
+         body;
+}
+
+std::string HostOf(std::string_view field) {
+  std::string host(field.substr(0, std::min(field.find(':'), field.size())));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return host;
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, std::min(target.find('?'), target.size()));
+}
+
+}  // namespace daisypond::forward
--- /dev/null
+++ b/src/forward/request_reader.h
@@ -0,0 +1,43 @@
+#ifndef DAISYPOND_FORWARD_REQUEST_READER_H_
+#define DAISYPOND_FORWARD_REQUEST_READER_H_
+
+#include <optional>
+
+#include <tl/expected.hpp>
+
+#include "base/name_table.h"
+#include "base/verdict.h"
+#include "catalog/configuration.h"
+#include "forward/caller_channel.h"
+
+namespace daisypond::forward {
+
+/// Why a request could not be read.
+enum class RequestFault : uint8_t {
+  kClosed,
+  kTimedOut,
+  kMalformed,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+};
+
+/// What the caller is told; empty when the connection just ends.
+std::optional<base::Verdict> VerdictOf(RequestFault fault);
+
+/// Reads one request from a caller's connection, within the limits. What
+/// could be read in two ways (two lengths, a length and chunks) is refused.
+class RequestReader {
+ public:
+  RequestReader(CallerChannel* channel, const catalog::CallerLimits& limits)
+      : channel_(channel), limits_(limits) {}
+
+  net::asio::awaitable<tl::expected<CallerRequest, RequestFault>> Read();
+
+ private:
+  CallerChannel* channel_;
+  catalog::CallerLimits limits_;
+};
+
+}  // namespace daisypond::forward
+
+#endif  // DAISYPOND_FORWARD_REQUEST_READER_H_
--- /dev/null
+++ b/src/forward/send_ledger.cc
@@ -0,0 +1,81 @@
+#include "forward/send_ledger.h"
+
+#include <algorithm>
+
+namespace daisypond::forward {
+
+SendLedger::SendLedger(catalog::Repeatability repeatability,
+                       int maximum_targets)
+    : repeatability_(repeatability),
+      maximum_targets_(static_cast<size_t>(std::max(maximum_targets, 1))) {}
+
+void SendLedger::OnSend(const std::string& target) {
+  ++sends_;
+  is_sending_ = true;
+  may_have_run_.insert(target);
+}
+
+void SendLedger::OnEnded(const std::string& target, SendOutcome outcome) {
+  is_sending_ = false;
+  if (outcome == SendOutcome::kNotSent) {
+    --sends_;
+  }
+  if (outcome == SendOutcome::kNotSent || outcome == SendOutcome::kRefused) {
+    may_have_run_.erase(target);
+  }
+}
+
+bool SendLedger::MaySendAgain() const {
+  if (is_sending_) {
+    return false;
+  }
+  if (repeatability_ == catalog::Repeatability::kRunOnce) {
+    return may_have_run_.empty();
+  }
+  return may_have_run_.size() < maximum_targets_;
+}
+
+bool SendLedger::MaySendTo(const std::string& target) const {
+  return MaySendAgain() &&
+         (repeatability_ == catalog::Repeatability::kResumable ||
+          !may_have_run_.contains(target));
+}
+
+base::Execution SendLedger::Execution() const {
+  return may_have_run_.empty() ? base::Execution::kNotRun
+                               : base::Execution::kMayHaveRun;
+}
+
+int StatusOf(const base::Verdict& verdict) {
+  constexpr int kBadRequest = 400;
+  constexpr int kUnauthorized = 401;
+  constexpr int kNotFound = 404;
+  constexpr int kTooLarge = 413;
+  constexpr int kHeaderTooLarge = 431;
+  constexpr int kTooMany = 429;
+  constexpr int kBadGateway = 502;
+  constexpr int kUnavailable = 503;
+  constexpr int kTimeout = 504;
+  switch (verdict.reason) {
+    case base::Reason::kBadRequest:
+      return kBadRequest;
+    case base::Reason::kUnauthorized:
+      return kUnauthorized;
+    case base::Reason::kUnknownRoute:
+      return kNotFound;
+    case base::Reason::kBodyTooLarge:
+      return kTooLarge;
+    case base::Reason::kHeaderTooLarge:
+      return kHeaderTooLarge;
+    default:
+      break;
+  }
+  if (verdict.execution == base::Execution::kNotRun) {
+    return verdict.reason == base::Reason::kWorkspaceLimit ? kTooMany
+                                                           : kUnavailable;
+  }
+  return verdict.reason == base::Reason::kDeadlineExceeded ? kTimeout
+                                                           : kBadGateway;
+}
+
+}  // namespace daisypond::forward
--- /dev/null
+++ b/src/forward/session.h
@@ -0,0 +1,121 @@
+#ifndef DAISYPOND_FORWARD_SESSION_H_
+#define DAISYPOND_FORWARD_SESSION_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "forward/caller_channel.h"
+#include "forward/exchange.h"
+#include "forward/forwarder.h"
+#include "forward/request_reader.h"
+
+namespace daisypond::forward {
+
+/// Serves the requests of one caller's connection, one after another.
+template <Dialect Names>
+class Session : public std::enable_shared_from_this<Session<Names>> {
+ public:
+  Session(Forwarder* forwarder, net::Tcp::socket socket)
+      : forwarder_(forwarder),
+        channel_(std::make_shared<CallerChannel>(std::move(socket))) {}
+
+  net::asio::awaitable<void> Run() {
+    const auto self = this->shared_from_this();
+    AfterAnswer after = AfterAnswer::kKeepOpen;
+    while (after == AfterAnswer::kKeepOpen && co_await WaitForRequest()) {
+      after = co_await ServeOne();
+    }
+    co_await Finish();
+  }
+
+  /// True while no request has begun.
+  bool IsIdle() const { return is_idle_; }
+
+  /// Ends the connection at once.
+  void Close() { channel_->Socket().Close(); }
+
+ private:
+  const catalog::CallerLimits& Limits() const {
+    static const catalog::CallerLimits kDefaults;
+    const auto& configuration = forwarder_->catalog.configuration;
+    return configuration == nullptr ? kDefaults : configuration->limits;
+  }
+
+  /// False when the connection has closed or was idle for too long.
+  net::asio::awaitable<bool> WaitForRequest() {
+    const base::Millis idle_since = base::Clock::Now();
+    is_idle_ = true;
+    net::TimedSocket& socket = channel_->Socket();
+    while (channel_->Buffer().size() == 0) {
+      const base::Millis limit = idle_since + Limits().idle_timeout;
+      socket.Arm(limit);
+      const auto [ec, n] = co_await socket.Raw().async_read_some(
+          channel_->Buffer().prepare(kReadBytes), net::kAsTuple);
+      socket.Disarm();
+      channel_->Buffer().commit(n);
+      // A new configuration may have raised the limit meanwhile.
+      const bool may_wait_on =
+          socket.HasExpired() && socket.Raw().is_open() &&
+          base::Clock::Now() < idle_since + Limits().idle_timeout;
+      if (ec && !may_wait_on) {
+        co_return false;
+      }
+    }
+    is_idle_ = false;
+    co_return true;
+  }
+
+  net::asio::awaitable<AfterAnswer> ServeOne() {
+    RequestReader reader(channel_.get(), Limits());
+    tl::expected<CallerRequest, RequestFault> request = co_await reader.Read();
+    if (!request) {
+      co_return co_await Refuse(request.error());
+    }
+    Exchange<Names> exchange(forwarder_, channel_.get(), std::move(*request));
+    co_return co_await exchange.Run();
+  }
+
+  net::asio::awaitable<AfterAnswer> Refuse(RequestFault fault) {
+    const std::optional<base::Verdict> verdict = VerdictOf(fault);
+    if (verdict) {
+      forwarder_->metrics->AddRefusal(verdict->reason);
+      base::Log(base::LogLevel::kInfo, "request_unreadable",
+                {{"reason", base::kReasonNames.NameOf(verdict->reason)},
+                 {"detail", verdict->detail}});
+      const std::string text = VerdictAnswer(*verdict, AfterAnswer::kClose);
+      co_await channel_->Write(text, base::Clock::Now() + kFinishBound);
+    }
+    co_return AfterAnswer::kClose;
+  }
+
+  /// Closes so that the caller can read the last answer: bytes that it still
+  /// sends would make the close a reset, which may destroy that answer.
+  net::asio::awaitable<void> Finish() {
+    net::TimedSocket& socket = channel_->Socket();
+    channel_->StopWatch();
+    net::ErrorCode ec;
+    socket.Raw().shutdown(net::Tcp::socket::shutdown_send, ec);
+    socket.Arm(base::Clock::Now() + kFinishBound);
+    while (!ec) {
+      channel_->Buffer().clear();
+      const auto [read_ec, n] = co_await socket.Raw().async_read_some(
+          channel_->Buffer().prepare(kReadBytes), net::kAsTuple);
+      ec = read_ec;
+    }
+    socket.Close();
+  }
+
+  static constexpr size_t kReadBytes = 4096;
+  /// Callers are a few milliseconds away.
+  static constexpr base::Millis kFinishBound{500};
+
+  Forwarder* forwarder_;
+  std::shared_ptr<CallerChannel> channel_;
+  bool is_idle_ = true;
+};
+
+}  // namespace daisypond::forward
+
+#endif  // DAISYPOND_FORWARD_SESSION_H_
--- /dev/null
+++ b/src/forward/target_board.cc
@@ -0,0 +1,295 @@
+#include "forward/target_board.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace daisypond::forward {
+
+namespace {
+
+using base::Millis;
+
+// A target that failed is left alone this long, doubled with each failure in
+// a row. A crashed target needs about a second to come back.
+constexpr Millis kFirstAvoidance{500};
+constexpr int kMaximumDoublings = 3;
+// A target that refused for want of a place; several answers of a plain
+// service take this long.
+constexpr Millis kFullAvoidance{150};
+// Failures this close together have one cause.
+constexpr Millis kDomainWindow{1500};
+// Reports of others' load count in full when new and nothing after this time:
+// the length of a long generation.
+constexpr Millis kReportLife{6000};
+// Weights of a score, in requests at a target.
+constexpr double kOtherDomain = 0.6;
+constexpr double kPreferenceWeight = 1.2;
+constexpr double kCopyWeight = 0.35;
+constexpr double kFailureWeight = 8;
+constexpr double kAvoidedWeight = 1000;
+constexpr double kFailingDomainWeight = 300;
+constexpr double kAvoidedDomainWeight = 100;
+constexpr double kPlainLoadScale = 6;
+constexpr double kNoise = 0.05;
+// Weight of the newest outcome in a failure rate.
+constexpr double kOutcomeWeight = 0.15;
+
+void AddOutcome(TargetState* state, bool has_failed) {
+  state->failure_rate +=
+      kOutcomeWeight * ((has_failed ? 1.0 : 0.0) - state->failure_rate);
+}
+
+}  // namespace
+
+TargetBoard::TargetBoard(std::string instance, uint64_t seed)
+    : instance_(std::move(instance)), random_(seed) {}
+
+double TargetBoard::Random() {
+  random_ = base::Hash("", random_);
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(random_) / kRange;
+}
+
+void TargetBoard::Configure(const catalog::Targets& targets) {
+  std::erase_if(states_, [&](const auto& it) {
+    const auto found = targets.find(it.first);
+    return found == targets.end() ||
+           found->second.started_at != it.second.target.started_at;
+  });
+  for (const auto& it : targets) {
+    TargetState& state = states_[it.first];
+    state.target = it.second;
+    constexpr double kRange = 18446744073709551616.0;
+    state.preference =
+        static_cast<double>(base::Hash(it.first, base::Hash(instance_))) /
+        kRange;
+  }
+}
+
+TargetState* TargetBoard::StateOf(const std::string& id) {
+  const auto it = states_.find(id);
+  return it == states_.end() ? nullptr : &it->second;
+}
+
+double TargetBoard::LoadOf(const TargetState& state, Millis now) const {
+  double load = static_cast<double>(state.own_running);
+  if (!state.report) {
+    return load;
+  }
+  const int64_t others = std::max<int64_t>(
+      0, state.report->running + state.report->waiting - state.own_at_report);
+  const double age = static_cast<double>((now - state.reported_at).count) /
+                     static_cast<double>(kReportLife.count);
+  load += static_cast<double>(others) * std::max(0.0, 1.0 - age);
+  return load;
+}
+
+bool TargetBoard::MayTake(const TargetState& state,
+                          const PlacementRequest& request) const {
+  return state.target.service == request.service && !state.target.is_leaving &&
+         !request.excluded.contains(state.target.id);
+}
+
+double TargetBoard::ScoreOf(const TargetState& state,
+                            const PlacementRequest& request,
+                            Millis now) const {
+  const double slots =
+      static_cast<double>(std::max<int64_t>(state.target.slots, 1));
+  double score = LoadOf(state, now);
+  if (request.is_engine) {
+    score += kPreferenceWeight * state.preference;
+    score += kCopyWeight * static_cast<double>(state.own_copies);
+  } else {
+    score = score / slots * kPlainLoadScale;
+  }
+  if (state.target.failure_domain != request.failure_domain) {
+    score += kOtherDomain;
+  }
+  score += kFailureWeight * state.failure_rate * state.failure_rate;
+  if (now < state.avoided_until) {
+    score +=
+        kAvoidedWeight + static_cast<double>((state.avoided_until - now).count);
+  }
+  if (!request.avoided_domain.empty() &&
+      state.target.failure_domain == request.avoided_domain) {
+    score += kAvoidedDomainWeight;
+  }
+  return score;
+}
+
+Placement TargetBoard::PlacementOf(const TargetState& state,
+                                   double score,
+                                   Millis now) const {
+  Placement placement;
+  placement.id = state.target.id;
+  placement.address = state.target.address;
+  placement.failure_domain = state.target.failure_domain;
+  placement.score = score;
+  placement.load = LoadOf(state, now);
+  if (state.report) {
+    placement.report_age = now - state.reported_at;
+  }
+  return placement;
+}
+
+std::optional<Placement> TargetBoard::Choose(const PlacementRequest& request,
+                                             Millis now) {
+  std::map<std::string, bool> is_domain_failing;
+  const TargetState* best = nullptr;
+  double best_score = 0;
+  for (const auto& it : states_) {
+    const TargetState& state = it.second;
+    if (!MayTake(state, request)) {
+      continue;
+    }
+    const std::string& domain = state.target.failure_domain;
+    const auto known = is_domain_failing.find(domain);
+    const bool is_failing =
+        known != is_domain_failing.end()
+            ? known->second
+            : is_domain_failing
+                  .emplace(domain,
+                           IsDomainFailing(request.service, domain, now))
+                  .first->second;
+    double score = ScoreOf(state, request, now) + kNoise * Random();
+    if (is_failing && state.heard_at + kDomainWindow < now) {
+      score += kFailingDomainWeight;
+    }
+    if (best == nullptr || score < best_score) {
+      best = &state;
+      best_score = score;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return PlacementOf(*best, best_score, now);
+}
+
+std::optional<Placement> TargetBoard::ChooseCopy(
+    const PlacementRequest& request,
+    Millis now) {
+  const auto chosen = Choose(request, now);
+  if (!chosen || chosen->failure_domain == request.avoided_domain ||
+      chosen->score >= kAvoidedWeight) {
+    return std::nullopt;
+  }
+  return chosen;
+}
+
+std::optional<Placement> TargetBoard::Find(const std::string& id,
+                                           Millis now) const {
+  const auto it = states_.find(id);
+  if (it == states_.end() || it->second.target.is_leaving ||
+      now < it->second.avoided_until) {
+    return std::nullopt;
+  }
+  return PlacementOf(it->second, 0, now);
+}
+
+void TargetBoard::OnSend(const std::string& id) {
+  if (TargetState* state = StateOf(id)) {
+    ++state->own_running;
+  }
+}
+
+void TargetBoard::OnEnded(const std::string& id) {
+  TargetState* state = StateOf(id);
+  if (state != nullptr && state->own_running > 0) {
+    --state->own_running;
+    state->own_at_report = std::min(state->own_at_report, state->own_running);
+  }
+}
+
+void TargetBoard::OnCopyBegun(const std::string& id) {
+  if (TargetState* state = StateOf(id)) {
+    ++state->own_copies;
+  }
+}
+
+void TargetBoard::OnCopyEnded(const std::string& id) {
+  TargetState* state = StateOf(id);
+  if (state != nullptr && state->own_copies > 0) {
+    --state->own_copies;
+  }
+}
+
+void TargetBoard::OnReport(const std::string& id,
+                           const LoadReport& report,
+                           Millis now) {
+  if (TargetState* state = StateOf(id)) {
+    state->report = report;
+    state->reported_at = now;
+    state->own_at_report = state->own_running;
+  }
+}
+
+void TargetBoard::OnHeard(const std::string& id, Millis now) {
+  if (TargetState* state = StateOf(id)) {
+    state->heard_at = now;
+  }
+}
+
+void TargetBoard::OnSuccess(const std::string& id, Millis now) {
+  if (TargetState* state = StateOf(id)) {
+    state->heard_at = now;
+    state->failures_in_row = 0;
+    state->avoided_until = {0};
+    AddOutcome(state, false);
+  }
+}
+
+void TargetBoard::OnFailure(const std::string& id, Millis now) {
+  TargetState* state = StateOf(id);
+  if (state == nullptr) {
+    return;
+  }
+  const int doublings = std::min(state->failures_in_row, kMaximumDoublings);
+  ++state->failures_in_row;
+  state->failed_at = now;
+  state->avoided_until = now + kFirstAvoidance * (int64_t{1} << doublings);
+  AddOutcome(state, true);
+}
+
+void TargetBoard::OnErrorAnswer(const std::string& id, Millis now) {
+  if (TargetState* state = StateOf(id)) {
+    state->heard_at = now;
+    AddOutcome(state, true);
+  }
+}
+
+void TargetBoard::OnFull(const std::string& id, Millis now) {
+  if (TargetState* state = StateOf(id)) {
+    state->heard_at = now;
+    state->avoided_until = std::max(state->avoided_until, now + kFullAvoidance);
+    AddOutcome(state, true);
+  }
+}
+
+Millis TargetBoard::HeardAt(const std::string& id) const {
+  const auto it = states_.find(id);
+  return it == states_.end() ? Millis{INT64_MIN / 2} : it->second.heard_at;
+}
+
+bool TargetBoard::IsDomainFailing(const std::string& service,
+                                  const std::string& failure_domain,
+                                  Millis now) const {
+  int n_failed = 0;
+  int n_used = 0;
+  for (const auto& it : states_) {
+    const TargetState& state = it.second;
+    if (state.target.service != service ||
+        state.target.failure_domain != failure_domain) {
+      continue;
+    }
+    const bool has_failed = state.failed_at + kDomainWindow > now &&
+                            state.heard_at <= state.failed_at;
+    n_failed += has_failed ? 1 : 0;
+    n_used += has_failed || state.heard_at + kDomainWindow > now ? 1 : 0;
+  }
+  return n_failed >= 2 && n_failed * 2 >= n_used;
+}
+
+}  // namespace daisypond::forward
--- /dev/null
+++ b/src/forward/target_board.h
@@ -0,0 +1,138 @@
+#ifndef DAISYPOND_FORWARD_TARGET_BOARD_H_
+#define DAISYPOND_FORWARD_TARGET_BOARD_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/clock.h"
+#include "catalog/catalog.h"
+#include "forward/message.h"
+
+namespace daisypond::forward {
+
+/// What this instance knows of one target from its own traffic.
+struct TargetState {
+  catalog::Target target;
+  /// Requests of this instance that are open there.
+  int64_t own_running = 0;
+  /// Copies of runs of this instance that are kept there.
+  int64_t own_copies = 0;
+  std::optional<LoadReport> report;
+  base::Millis reported_at;
+  /// own_running when the report came.
+  int64_t own_at_report = 0;
+  /// New work goes elsewhere before this time if it can.
+  base::Millis avoided_until;
+  int failures_in_row = 0;
+  /// The last time that the target failed or was silent, and that it sent
+  /// anything at all.
+  base::Millis failed_at{INT64_MIN / 2};
+  base::Millis heard_at{INT64_MIN / 2};
+  /// Part of recent sends that failed, 0 to 1.
+  double failure_rate = 0;
+  /// Position of this instance's preference for the target, 0 to 1: instances
+  /// prefer different targets, so that few of them meet at one.
+  double preference = 0;
+};
+
+/// What a placement depends on.
+struct PlacementRequest {
+  std::string service;
+  /// The caller's side.
+  std::string failure_domain;
+  /// Targets that must not get the request.
+  std::set<std::string> excluded;
+  /// A failure domain that should not be chosen: that of the run whose memory
+  /// is copied, or that of a lost target.
+  std::string avoided_domain;
+  bool is_engine = false;
+};
+
+/// The chosen target and what decided it.
+struct Placement {
+  std::string id;
+  std::string address;
+  std::string failure_domain;
+  /// Lower is better.
+  double score = 0;
+  /// Requests believed to be there, and the age of the report behind that;
+  /// negative without a report.
+  double load = 0;
+  base::Millis report_age{-1};
+};
+
+/// The targets in force with what this instance's own traffic tells of them.
+/// Decides where requests go. Answers the load in which many instances see
+/// few requests each and learn of the others only by reports that ride on
+/// answers. Pure: time comes in as an argument.
+class TargetBoard {
+ public:
+  TargetBoard(std::string instance, uint64_t seed);
+
+  /// Takes over the targets in force; knowledge of those that stay is kept.
+  void Configure(const catalog::Targets& targets);
+
+  /// Chooses a target for new work, or none when the service has none that
+  /// may take it.
+  std::optional<Placement> Choose(const PlacementRequest& request,
+                                  base::Millis now);
+
+  /// Chooses an engine that keeps a copy of a run at `engine`.
+  std::optional<Placement> ChooseCopy(const PlacementRequest& request,
+                                      base::Millis now);
+
+  /// The target, if it may take new work now.
+  std::optional<Placement> Find(const std::string& id, base::Millis now) const;
+
+  void OnSend(const std::string& id);
+  void OnEnded(const std::string& id);
+  void OnCopyBegun(const std::string& id);
+  void OnCopyEnded(const std::string& id);
+
+  void OnReport(const std::string& id,
+                const LoadReport& report,
+                base::Millis now);
+  /// The target sent bytes.
+  void OnHeard(const std::string& id, base::Millis now);
+  void OnSuccess(const std::string& id, base::Millis now);
+  /// The target broke off, could not be reached or fell silent.
+  void OnFailure(const std::string& id, base::Millis now);
+  /// The target answered that the request failed.
+  void OnErrorAnswer(const std::string& id, base::Millis now);
+  /// The target refused for want of a place.
+  void OnFull(const std::string& id, base::Millis now);
+
+  /// When the target last sent anything; far in the past if never.
+  base::Millis HeardAt(const std::string& id) const;
+
+  /// True while targets of one failure domain fail together: at least two
+  /// within kDomainWindow and at least half of those in use.
+  bool IsDomainFailing(const std::string& service,
+                       const std::string& failure_domain,
+                       base::Millis now) const;
+
+  size_t Size() const { return states_.size(); }
+
+ private:
+  TargetState* StateOf(const std::string& id);
+  double LoadOf(const TargetState& state, base::Millis now) const;
+  double ScoreOf(const TargetState& state,
+                 const PlacementRequest& request,
+                 base::Millis now) const;
+  bool MayTake(const TargetState& state, const PlacementRequest& request) const;
+  Placement PlacementOf(const TargetState& state,
+                        double score,
+                        base::Millis now) const;
+  double Random();
+
+  std::string instance_;
+  uint64_t random_;
+  std::map<std::string, TargetState> states_;
+};
+
+}  // namespace daisypond::forward
+
+#endif  // DAISYPOND_FORWARD_TARGET_BOARD_H_
--- /dev/null
+++ b/src/forward/target_connection.cc
@@ -0,0 +1,32 @@
+#include "forward/target_connection.h"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace daisypond::forward {
+
+TargetConnection::TargetConnection(const net::asio::any_io_executor& executor,
+                                   std::string target,
+                                   std::string address)
+    : socket_(executor),
+      target_(std::move(target)),
+      address_(std::move(address)) {}
+
+void TargetConnection::StartWrite(std::string bytes) {
+  outgoing_ = std::move(bytes);
+  is_write_done_ = false;
+  written_bytes_ = 0;
+  ++uses_;
+  net::asio::async_write(
+      socket_.Raw(), net::asio::buffer(outgoing_),
+      [self = shared_from_this()](net::ErrorCode /*ec*/, size_t n) {
+        // An error shows at the read that waits for the answer.
+        self->is_write_done_ = true;
+        self->written_bytes_ = n;
+        self->outgoing_.clear();
+      });
+}
+
+}  // namespace daisypond::forward
--- /dev/null
+++ b/src/forward/target_connection.h
@@ -0,0 +1,57 @@
+#ifndef DAISYPOND_FORWARD_TARGET_CONNECTION_H_
+#define DAISYPOND_FORWARD_TARGET_CONNECTION_H_
+
+#include <memory>
+#include <string>
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "base/clock.h"
+#include "net/timed_socket.h"
+
+namespace daisypond::forward {
+
+/// A connection to a target. Carries one request at a time.
+class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
+ public:
+  TargetConnection(const net::asio::any_io_executor& executor,
+                   std::string target,
+                   std::string address);
+
+  net::TimedSocket& Socket() { return socket_; }
+  boost::beast::flat_buffer& Buffer() { return buffer_; }
+  const std::string& Target() const { return target_; }
+  const std::string& Address() const { return address_; }
+
+  /// Sends `bytes` while the caller goes on to read: a target may answer
+  /// before it has read all.
+  void StartWrite(std::string bytes);
+
+  bool IsWriteDone() const { return is_write_done_; }
+
+  /// True when the write ended before its first byte was taken.
+  bool IsNothingWritten() const {
+    return is_write_done_ && written_bytes_ == 0;
+  }
+
+  /// Requests that were sent on it.
+  int Uses() const { return uses_; }
+
+  /// How long the target keeps it open when idle.
+  base::Millis idle_limit{2000};
+  base::Millis idle_since;
+
+ private:
+  net::TimedSocket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::string target_;
+  std::string address_;
+  std::string outgoing_;
+  bool is_write_done_ = true;
+  size_t written_bytes_ = 0;
+  int uses_ = 0;
+};
+
+}  // namespace daisypond::forward
+
+#endif  // DAISYPOND_FORWARD_TARGET_CONNECTION_H_
--- /dev/null
+++ b/src/gateway/catalog_source.h
@@ -0,0 +1,165 @@
+#ifndef DAISYPOND_GATEWAY_CATALOG_SOURCE_H_
+#define DAISYPOND_GATEWAY_CATALOG_SOURCE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "catalog/catalog.h"
+#include "catalog/row.h"
+#include "catalog/target_follower.h"
+
+namespace daisypond::gateway {
+
+/// Turns rows of the table service into the catalog in force. Runs on the
+/// control thread; `Format` decodes rows and names tables.
+template <typename Format>
+class CatalogSource {
+ public:
+  using OnCatalog = std::function<void(const catalog::Catalog&)>;
+
+  CatalogSource(base::Metrics* metrics, OnCatalog on_catalog)
+      : metrics_(metrics), on_catalog_(std::move(on_catalog)) {}
+
+  void OnConfigurationRows(const std::vector<catalog::Row>& rows) {
+    for (const catalog::Row& it : rows) {
+      if (it.key == Format::kConfigurationKey && !it.is_removed) {
+        OnConfigurationText(it.value);
+      }
+    }
+  }
+
+  /// Puts a configuration in force unless it is unreadable or not newer.
+  void OnConfigurationText(const std::string& text) {
+    auto decoded = Format::DecodeConfiguration(text);
+    if (!decoded) {
+      metrics_->Add(base::Counter::kConfigurationsUnreadable);
+      base::Log(base::LogLevel::kError, "configuration_unreadable",
+                {{"error", decoded.error().ToString()},
+                 {"version_in_force", Version()}});
+      return;
+    }
+    if (catalog_.configuration != nullptr && decoded->version <= Version()) {
+      return;
+    }
+    catalog_.configuration =
+        std::make_shared<const catalog::Configuration>(std::move(*decoded));
+    configuration_text_ = text;
+    metrics_->Add(base::Counter::kConfigurationChanges);
+    base::Log(base::LogLevel::kInfo, "configuration",
+              {{"version", Version()},
+               {"routes", catalog_.configuration->routes.size()},
+               {"services", catalog_.configuration->services.size()},
+               {"keys", catalog_.configuration->workspaces.size()}});
+    on_catalog_(catalog_);
+  }
+
+  void OnTargetsListed(const std::vector<catalog::Row>& rows) {
+    catalog::Targets listed;
+    for (const catalog::Row& it : rows) {
+      if (auto target = Decode(it)) {
+        listed.emplace(it.key, std::move(*target));
+      }
+    }
+    const bool has_changed = follower_.OnListed(listed, base::Clock::Now());
+    if (has_changed || catalog_.targets == nullptr) {
+      PublishTargets("listed");
+    }
+  }
+
+  void OnTargetsChanged(const std::vector<catalog::Row>& rows) {
+    std::vector<catalog::Target> decoded;
+    decoded.reserve(rows.size());
+    std::vector<catalog::TargetChange> changes;
+    for (const catalog::Row& it : rows) {
+      catalog::TargetChange change{it.key, nullptr};
+      if (auto target = Decode(it)) {
+        decoded.push_back(std::move(*target));
+        change.target = &decoded.back();
+      }
+      changes.push_back(change);
+    }
+    if (follower_.OnChanged(changes, base::Clock::Now())) {
+      PublishTargets("changed");
+    }
+  }
+
+  void OnStoreAway() { follower_.OnAway(); }
+  void OnStoreAnswered() { follower_.OnAnswered(base::Clock::Now()); }
+
+  void Advance() {
+    if (follower_.Advance(base::Clock::Now())) {
+      PublishTargets("missing_after_outage");
+    }
+  }
+
+  uint64_t Version() const {
+    return catalog_.configuration == nullptr ? 0
+                                             : catalog_.configuration->version;
+  }
+  const std::string& ConfigurationText() const { return configuration_text_; }
+  const catalog::Catalog& Current() const { return catalog_; }
+
+ private:
+  std::optional<catalog::Target> Decode(const catalog::Row& row) {
+    if (row.is_removed) {
+      return std::nullopt;
+    }
+    auto target = Format::DecodeTarget(row.key, row.value);
+    if (!target) {
+      metrics_->Add(base::Counter::kTargetsUnreadable);
+      base::Log(base::LogLevel::kWarning, "target_unreadable",
+                {{"target", row.key}, {"error", target.error().ToString()}});
+      return std::nullopt;
+    }
+    return std::move(*target);
+  }
+
+  void PublishTargets(const char* cause) {
+    LogTargetChanges(cause);
+    catalog_.targets =
+        std::make_shared<const catalog::Targets>(follower_.InForce());
+    on_catalog_(catalog_);
+  }
+
+  /// One line for each target that came, changed or left.
+  void LogTargetChanges(const char* cause) const {
+    static const catalog::Targets kNone;
+    const catalog::Targets& before =
+        catalog_.targets == nullptr ? kNone : *catalog_.targets;
+    const catalog::Targets& after = follower_.InForce();
+    for (const auto& it : after) {
+      const auto found = before.find(it.first);
+      if (found == before.end() || found->second != it.second) {
+        base::Log(base::LogLevel::kInfo, "target",
+                  {{"target", it.first},
+                   {"service", it.second.service},
+                   {"address", it.second.address},
+                   {"domain", it.second.failure_domain},
+                   {"leaving", it.second.is_leaving},
+                   {"cause", cause}});
+      }
+    }
+    for (const auto& it : before) {
+      if (!after.contains(it.first)) {
+        base::Log(base::LogLevel::kInfo, "target_gone",
+                  {{"target", it.first}, {"cause", cause}});
+      }
+    }
+  }
+
+  base::Metrics* metrics_;
+  OnCatalog on_catalog_;
+  catalog::TargetFollower follower_;
+  catalog::Catalog catalog_;
+  std::string configuration_text_;
+};
+
+}  // namespace daisypond::gateway
+
+#endif  // DAISYPOND_GATEWAY_CATALOG_SOURCE_H_
--- /dev/null
+++ b/src/gateway/forwarder_options.h
@@ -0,0 +1,14 @@
+#ifndef DAISYPOND_GATEWAY_FORWARDER_OPTIONS_H_
+#define DAISYPOND_GATEWAY_FORWARDER_OPTIONS_H_
+
+#include "forward/forwarder.h"
+#include "gateway/settings.h"
+
+namespace daisypond::gateway {
+
+/// What this instance takes of the bounds that hold for all together.
+forward::ForwarderOptions ForwarderOptionsOf(const Settings& settings);
+
+}  // namespace daisypond::gateway
+
+#endif  // DAISYPOND_GATEWAY_FORWARDER_OPTIONS_H_
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,264 @@
+#ifndef DAISYPOND_GATEWAY_GATEWAY_H_
+#define DAISYPOND_GATEWAY_GATEWAY_H_
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "catalog/table_watcher.h"
+#include "forward/session.h"
+#include "gateway/catalog_source.h"
+#include "gateway/forwarder_options.h"
+#include "gateway/settings.h"
+#include "gateway/status_server.h"
+#include "net/address.h"
+
+namespace daisypond::gateway {
+
+namespace asio = boost::asio;
+
+/// An instance that forwards requests: one thread for traffic, one for the
+/// catalog. `Names` spells headers, `Format` spells tables and rows.
+template <forward::Dialect Names, typename Format>
+class Gateway {
+ public:
+  explicit Gateway(const Settings& settings)
+      : settings_(settings),
+        forwarder_(traffic_.get_executor(),
+                   ForwarderOptionsOf(settings),
+                   &metrics_),
+        source_(&metrics_, [this](const catalog::Catalog& it) { Publish(it); }),
+        configuration_reader_(control_.get_executor(), settings.store),
+        target_reader_(control_.get_executor(), settings.store),
+        configuration_watcher_(&configuration_reader_,
+                               {.table = Format::kConfigurationTable},
+                               ConfigurationEvents()),
+        target_watcher_(&target_reader_,
+                        {.table = Format::kTargetTable},
+                        TargetEvents()),
+        acceptor_(traffic_) {}
+
+  /// Opens the ports and starts both threads. False when a port is taken.
+  bool Start() {
+    if (!Listen()) {
+      return false;
+    }
+    status_.emplace(settings_, &metrics_, [this] { return is_ready_.load(); });
+    if (!status_->IsRunning()) {
+      return false;
+    }
+    asio::co_spawn(traffic_, Accept(), asio::detached);
+    asio::co_spawn(traffic_, Tidy(), asio::detached);
+    asio::co_spawn(control_, configuration_watcher_.Run(), asio::detached);
+    asio::co_spawn(control_, target_watcher_.Run(), asio::detached);
+    asio::co_spawn(control_, AdvanceTargets(), asio::detached);
+    traffic_thread_ = std::thread([this] { traffic_.run(); });
+    control_thread_ = std::thread([this] { control_.run(); });
+    return true;
+  }
+
+  /// Serves what is open and what still comes, then stops. Returns the number
+  /// of connections that were cut.
+  size_t Stop() {
+    is_ready_ = false;
+    const base::Millis began_at = base::Clock::Now();
+    asio::post(traffic_, [this, began_at] { BeginStop(began_at); });
+    while (!IsDrained(began_at)) {
+      std::this_thread::sleep_for(kDrainStep.ToChrono());
+    }
+    const size_t n_cut = open_requests_;
+    Halt();
+    return n_cut;
+  }
+
+  void Halt() {
+    control_.stop();
+    traffic_.stop();
+    control_thread_.join();
+    traffic_thread_.join();
+  }
+
+ private:
+  using Session = forward::Session<Names>;
+
+  // New connections come until the balancer has seen two answers that are not
+  // ready, a second apart.
+  static constexpr base::Millis kBalancerNotice{2500};
+  // Left for closing connections before the process is killed.
+  static constexpr base::Millis kStopMargin{400};
+  static constexpr base::Millis kDrainStep{50};
+  static constexpr base::Millis kTidyPeriod{500};
+  static constexpr base::Millis kAdvancePeriod{200};
+
+  catalog::TableEvents ConfigurationEvents() {
+    catalog::TableEvents events;
+    events.on_listed = [this](const auto& rows) {
+      source_.OnConfigurationRows(rows);
+    };
+    events.on_changed = events.on_listed;
+    events.on_answered = [this] { metrics_.Add(base::Counter::kStoreCalls); };
+    events.on_away = [this](catalog::ReadFault) {
+      metrics_.Add(base::Counter::kStoreCalls);
+    };
+    return events;
+  }
+
+  catalog::TableEvents TargetEvents() {
+    catalog::TableEvents events;
+    events.on_listed = [this](const auto& rows) {
+      source_.OnTargetsListed(rows);
+    };
+    events.on_changed = [this](const auto& rows) {
+      source_.OnTargetsChanged(rows);
+    };
+    events.on_answered = [this] {
+      metrics_.Add(base::Counter::kStoreCalls);
+      source_.OnStoreAnswered();
+    };
+    events.on_away = [this](catalog::ReadFault) {
+      metrics_.Add(base::Counter::kStoreCalls);
+      source_.OnStoreAway();
+    };
+    return events;
+  }
+
+  /// Hands a catalog from the control thread to the traffic thread.
+  void Publish(const catalog::Catalog& next) {
+    asio::post(traffic_, [this, next] {
+      forwarder_.Apply(next);
+      is_ready_ = forwarder_.IsReady();
+    });
+  }
+
+  bool Listen() {
+    const auto endpoint = net::ParseAddress(settings_.listen);
+    net::ErrorCode ec;
+    acceptor_.open(endpoint->protocol(), ec);
+    acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
+    acceptor_.bind(*endpoint, ec);
+    if (!ec) {
+      acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    return !ec;
+  }
+
+  asio::awaitable<void> Accept() {
+    while (true) {
+      auto [ec, socket] = co_await acceptor_.async_accept(net::kAsTuple);
+      if (ec) {
+        base::Log(base::LogLevel::kWarning, "accept_failed",
+                  {{"error", ec.message()}});
+        asio::steady_timer timer(traffic_, kDrainStep.ToChrono());
+        co_await timer.async_wait(net::kAsTuple);
+        continue;
+      }
+      asio::co_spawn(traffic_, Serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(net::Tcp::socket socket) {
+    const uint64_t id = ++last_session_;
+    const auto session =
+        std::make_shared<Session>(&forwarder_, std::move(socket));
+    sessions_[id] = session;
+    CountOpen();
+    co_await session->Run();
+    sessions_.erase(id);
+    CountOpen();
+  }
+
+  asio::awaitable<void> Tidy() {
+    asio::steady_timer timer(traffic_);
+    while (true) {
+      timer.expires_after(kTidyPeriod.ToChrono());
+      co_await timer.async_wait(net::kAsTuple);
+      forwarder_.pool.Expire(base::Clock::Now());
+      if (forwarder_.is_stopping) {
+        CloseIdle();
+      }
+      CountOpen();
+    }
+  }
+
+  asio::awaitable<void> AdvanceTargets() {
+    asio::steady_timer timer(control_);
+    while (true) {
+      timer.expires_after(kAdvancePeriod.ToChrono());
+      co_await timer.async_wait(net::kAsTuple);
+      source_.Advance();
+    }
+  }
+
+  void BeginStop(base::Millis began_at) {
+    forwarder_.is_stopping = true;
+    forwarder_.stop_at = began_at + settings_.stop_grace - kStopMargin;
+    stopping_since_ = began_at;
+  }
+
+  void CloseIdle() {
+    if (base::Clock::Now() < stopping_since_ + kBalancerNotice) {
+      return;
+    }
+    for (const auto& it : sessions_) {
+      if (it.second->IsIdle()) {
+        it.second->Close();
+      }
+    }
+  }
+
+  void CountOpen() {
+    size_t n = 0;
+    for (const auto& it : sessions_) {
+      n += it.second->IsIdle() ? 0 : 1;
+    }
+    open_requests_ = n;
+    open_connections_ = sessions_.size();
+  }
+
+  bool IsDrained(base::Millis began_at) const {
+    const base::Millis now = base::Clock::Now();
+    if (now >= began_at + settings_.stop_grace - kStopMargin / 2) {
+      return true;
+    }
+    return now >= began_at + kBalancerNotice + kTidyPeriod * 2 &&
+           open_connections_ == 0;
+  }
+
+  Settings settings_;
+  base::Metrics metrics_;
+  asio::io_context traffic_{1};
+  asio::io_context control_{1};
+  forward::Forwarder forwarder_;
+  CatalogSource<Format> source_;
+  typename Format::Reader configuration_reader_;
+  typename Format::Reader target_reader_;
+  catalog::TableWatcher<typename Format::Reader> configuration_watcher_;
+  catalog::TableWatcher<typename Format::Reader> target_watcher_;
+  net::Tcp::acceptor acceptor_;
+  std::optional<StatusServer> status_;
+  std::map<uint64_t, std::shared_ptr<Session>> sessions_;
+  uint64_t last_session_ = 0;
+  base::Millis stopping_since_;
+  std::atomic<bool> is_ready_ = false;
+  std::atomic<size_t> open_requests_ = 0;
+  std::atomic<size_t> open_connections_ = 0;
+  std::thread traffic_thread_;
+  std::thread control_thread_;
+};
+
+}  // namespace daisypond::gateway
+
+#endif  // DAISYPOND_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/gateway/serve.cc
@@ -0,0 +1,77 @@
+#include "gateway/serve.h"
+
+#include <csignal>
+
+#include "base/log.h"
+#include "base/version.h"
+#include "gateway/gateway.h"
+#include "platform/dialect.h"
+#include "platform/format.h"
+
+namespace daisypond::gateway {
+
+namespace {
+
+using base::Log;
+using base::LogLevel;
+
+constexpr int kBadAddress = 3;
+
+void Reload(const std::string& file) {
+  const auto settings = ReadSettings(file);
+  if (!settings) {
+    Log(LogLevel::kError, "reload_refused",
+        {{"error", settings.error().ToString()}});
+    return;
+  }
+  // Addresses and bounds are taken at the start only.
+  base::SetLogLevel(settings->log_level);
+  Log(LogLevel::kInfo, "reloaded", {{"file", file}});
+}
+
+/// Blocks until the process is asked to stop.
+void WaitForStop(const sigset_t& signals, const std::string& file) {
+  while (true) {
+    int signal = 0;
+    sigwait(&signals, &signal);
+    if (signal != SIGHUP) {
+      return;
+    }
+    Reload(file);
+  }
+}
+
+}  // namespace
+
+int Serve(const std::string& file, const Settings& settings) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  Gateway<platform::PlatformDialect, platform::PlatformFormat> gateway(
+      settings);
+  if (!gateway.Start()) {
+    Log(LogLevel::kError, "cannot_listen",
+        {{"listen", settings.listen},
+         {"ready_listen", settings.ready_listen},
+         {"metrics_listen", settings.metrics_listen}});
+    return kBadAddress;
+  }
+  Log(LogLevel::kInfo, "serving",
+      {{"instance", settings.instance},
+       {"domain", settings.failure_domain},
+       {"listen", settings.listen},
+       {"store", settings.store},
+       {"version", base::kVersion}});
+  WaitForStop(signals, file);
+  Log(LogLevel::kInfo, "stopping", {});
+  const size_t n_cut = gateway.Stop();
+  Log(LogLevel::kInfo, "stopped", {{"cut", n_cut}});
+  return 0;
+}
+
+}  // namespace daisypond::gateway
--- /dev/null
+++ b/src/gateway/serve.h
@@ -0,0 +1,16 @@
+#ifndef DAISYPOND_GATEWAY_SERVE_H_
+#define DAISYPOND_GATEWAY_SERVE_H_
+
+#include <string>
+
+#include "gateway/settings.h"
+
+namespace daisypond::gateway {
+
+/// Runs an instance that forwards requests until it is asked to stop. Reads
+/// `file` again on SIGHUP. Returns the process's exit code.
+int Serve(const std::string& file, const Settings& settings);
+
+}  // namespace daisypond::gateway
+
+#endif  // DAISYPOND_GATEWAY_SERVE_H_
--- /dev/null
+++ b/src/gateway/settings.cc
@@ -0,0 +1,91 @@
+#include "gateway/settings.h"
+
+#include <fstream>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "yaml/reader.h"
+
+namespace daisypond::gateway {
+
+namespace {
+
+constexpr base::NameTable<base::LogLevel, 4> kLogLevelNames("debug",
+                                                            "info",
+                                                            "warning",
+                                                            "error");
+constexpr int64_t kMillisPerSecond = 1000;
+
+/// A number of seconds, which may have a fraction.
+base::Millis Seconds(yaml::Reader& reader,
+                     const char* key,
+                     base::Millis fallback) {
+  const double seconds =
+      reader.Decimal(key, 0,
+                     static_cast<double>(fallback.count) /
+                         static_cast<double>(kMillisPerSecond));
+  return {
+      static_cast<int64_t>(seconds * static_cast<double>(kMillisPerSecond))};
+}
+
+void ReadRetries(yaml::Reader& reader, RetrySettings* into) {
+  into->window = Seconds(reader, "window_s", into->window);
+  into->ratio = reader.Decimal("ratio", 0, into->ratio);
+  into->slack = reader.Decimal("slack", 0, into->slack);
+  if (into->window.count <= 0) {
+    reader.Fail("window_s", "must be more than zero");
+  }
+}
+
+void ReadAll(yaml::Reader& reader, Settings* into) {
+  reader.RequiredText("interface");
+  into->instance = reader.RequiredText("instance");
+  into->failure_domain = reader.RequiredText("failure_domain");
+  into->region = reader.Text("region", into->region);
+  into->listen = reader.Address("listen", true);
+  into->ready_listen = reader.Address("ready_listen", true);
+  into->metrics_listen = reader.Address("metrics_listen", true);
+  into->peer_listen = reader.Address("peer_listen", true);
+  into->seed_peers = reader.TextList("seed_peers");
+  into->store = reader.Address("store", true);
+  into->stop_grace = Seconds(reader, "stop_grace_s", into->stop_grace);
+  reader.Child("retries", [&](yaml::Reader& child) {
+    ReadRetries(child, &into->retries);
+  });
+  into->log_level = reader.Choice("log_level", kLogLevelNames, into->log_level);
+  reader.Finish();
+}
+
+}  // namespace
+
+yaml::Parsed<Settings> ParseSettings(const std::string& file,
+                                     const std::string& text) {
+  const auto node = yaml::Parse(file, text);
+  if (!node) {
+    return tl::unexpected(node.error());
+  }
+  std::optional<yaml::Error> error;
+  yaml::Node root = *node;
+  root.file = file;
+  root.line = root.line == 0 ? 1 : root.line;
+  yaml::Reader reader(root, "", &error);
+  Settings settings;
+  ReadAll(reader, &settings);
+  if (error) {
+    return tl::unexpected(*error);
+  }
+  return settings;
+}
+
+yaml::Parsed<Settings> ReadSettings(const std::string& file) {
+  const std::ifstream stream(file);
+  if (!stream) {
+    return tl::unexpected(yaml::Error{file, 0, "", "cannot be read"});
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return ParseSettings(file, text.str());
+}
+
+}  // namespace daisypond::gateway
--- a/src/intents/publisher.h
+++ b/src/intents/publisher.h
@@ -11,14 +11,14 @@
 #include "base/hash.h"
 #include "base/name_table.h"
 #include "intents/bundle.h"
-#include "platform/table_message.h"
+#include "store/table_message.h"
 
 namespace daisypond::intents {
 
 /// What the object store offers to this slice.
 template <typename T>
 concept ObjectStore = requires(T store, std::string text) {
-  { store.PutObject(text, text) } -> std::same_as<platform::StoreOutcome>;
+  { store.PutObject(text, text) } -> std::same_as<store::StoreOutcome>;
   { store.GetObject(text) } -> std::same_as<std::optional<std::string>>;
 };
 
@@ -76,7 +76,7 @@
 
 /// Publishes folders of intents through the platform's stores. Operators that
 /// change different files both succeed; the same file makes the later fail.
-template <platform::TableService Table, ObjectStore Objects>
+template <store::TableService Table, ObjectStore Objects>
 class Publisher {
  public:
   Publisher(Table* table, Objects* objects)
@@ -200,7 +200,7 @@
     for (const IntentFile& it : change.files) {
       const auto outcome =
           objects_->PutObject(BlobName(base::Sha256Hex(it.text)), it.text);
-      if (outcome != platform::StoreOutcome::kCommitted) {
+      if (outcome != store::StoreOutcome::kCommitted) {
         result->outcome = PublishOutcome::kStoreUnavailable;
         return false;
       }
@@ -216,10 +216,10 @@
         table_->Transact({{kCurrentRow, ToJson(next), row_version}});
     result.version = next.version;
     switch (written.outcome) {
-      case platform::StoreOutcome::kCommitted:
+      case store::StoreOutcome::kCommitted:
         result.outcome = PublishOutcome::kPublished;
         return result;
-      case platform::StoreOutcome::kNotReached:
+      case store::StoreOutcome::kNotReached:
         result.outcome = PublishOutcome::kStoreUnavailable;
         return result;
       default:
--- /dev/null
+++ b/src/net/address.h
@@ -0,0 +1,17 @@
+#ifndef DAISYPOND_NET_ADDRESS_H_
+#define DAISYPOND_NET_ADDRESS_H_
+
+#include <optional>
+#include <string_view>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace daisypond::net {
+
+/// Reads "IP:PORT" with an IPv4 address; empty for any other text.
+std::optional<boost::asio::ip::tcp::endpoint> ParseAddress(
+    std::string_view text);
+
+}  // namespace daisypond::net
+
+#endif  // DAISYPOND_NET_ADDRESS_H_
--- /dev/null
+++ b/src/net/timed_socket.cc
@@ -0,0 +1,122 @@
+#include "net/timed_socket.h"
+
+#include <cerrno>
+#include <string>
+#include <utility>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "net/address.h"
+
+namespace daisypond::net {
+
+namespace {
+
+// Bytes that stay unacknowledged for this long end a connection: well above
+// round trips and a few retransmissions between failure domains.
+constexpr base::Millis kUnacknowledgedBound{2500};
+constexpr int kProbeIdleSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbes = 2;
+
+void SetOption(int fd, int level, int name, int value) {
+  setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+enum class Peeked : uint8_t { kNothing, kBytes, kEnd };
+
+Peeked Peek(int fd) {
+  char buf = 0;
+  const ssize_t n = recv(fd, &buf, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) {
+    return Peeked::kBytes;
+  }
+  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+    return Peeked::kNothing;
+  }
+  return Peeked::kEnd;
+}
+
+}  // namespace
+
+TimedSocket::TimedSocket(const asio::any_io_executor& executor)
+    : socket_(executor),
+      timer_(executor),
+      generation_(std::make_shared<uint64_t>(0)) {}
+
+TimedSocket::TimedSocket(Tcp::socket socket)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      generation_(std::make_shared<uint64_t>(0)) {}
+
+TimedSocket::~TimedSocket() {
+  ++*generation_;
+}
+
+void TimedSocket::Arm(base::Millis limit) {
+  has_expired_ = false;
+  const uint64_t generation = ++*generation_;
+  timer_.expires_at(std::chrono::steady_clock::time_point(limit.ToChrono()));
+  timer_.async_wait([this, generation, current = generation_](ErrorCode ec) {
+    if (ec || *current != generation) {
+      return;
+    }
+    has_expired_ = true;
+    ErrorCode ignored;
+    socket_.cancel(ignored);
+  });
+}
+
+void TimedSocket::Disarm() {
+  ++*generation_;
+  timer_.cancel();
+}
+
+void TimedSocket::Configure(Liveness liveness) {
+  const int fd = socket_.native_handle();
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(kUnacknowledgedBound.count));
+  if (liveness == Liveness::kProbed) {
+    SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
+    SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+    SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  }
+}
+
+asio::awaitable<ErrorCode> TimedSocket::Connect(const std::string& address,
+                                                base::Millis limit) {
+  const std::optional<Tcp::endpoint> endpoint = ParseAddress(address);
+  if (!endpoint) {
+    co_return asio::error::make_error_code(asio::error::invalid_argument);
+  }
+  Arm(limit);
+  const auto [ec] = co_await socket_.async_connect(*endpoint, kAsTuple);
+  Disarm();
+  co_return ec;
+}
+
+void TimedSocket::Close() {
+  Disarm();
+  ErrorCode ignored;
+  socket_.close(ignored);
+}
+
+void TimedSocket::Reset() {
+  ErrorCode ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  Close();
+}
+
+bool TimedSocket::HasInput() {
+  return !socket_.is_open() ||
+         Peek(socket_.native_handle()) != Peeked::kNothing;
+}
+
+bool TimedSocket::IsClosedByPeer() {
+  return !socket_.is_open() || Peek(socket_.native_handle()) == Peeked::kEnd;
+}
+
+}  // namespace daisypond::net
--- a/src/orders/lease_keeper.h
+++ b/src/orders/lease_keeper.h
@@ -9,7 +9,7 @@
 #include "base/hash.h"
 #include "base/metrics.h"
 #include "orders/lease.h"
-#include "platform/table_message.h"
+#include "store/table_message.h"
 
 namespace daisypond::orders {
 
@@ -26,7 +26,7 @@
 /// Holds the right to give orders to one target. The table service decides
 /// who; this side keeps to its own clock: it counts its lease from before the
 /// write that made it, and another's from after the read that showed it.
-template <platform::TableService Table>
+template <store::TableService Table>
 class LeaseKeeper {
  public:
   LeaseKeeper(Table* table,
@@ -48,7 +48,7 @@
     if (!read.IsRead()) {
       return LeaseOutcome::kStoreUnavailable;
     }
-    const platform::Row& row = read.rows[0];
+    const store::Row& row = read.rows[0];
     const auto present = LeaseRowFromJson(row.value);
     if (row.version > 0 && !present) {
       return LeaseOutcome::kStoreUnavailable;
@@ -97,8 +97,8 @@
     row.duration = options_.duration;
     row.nonce = base::ToHex(base::RandomNumber());
     const auto written = table_->Transact({{key_, ToJson(row), row_version}});
-    bool is_written = written.outcome == platform::StoreOutcome::kCommitted;
-    if (written.outcome == platform::StoreOutcome::kUnknown) {
+    bool is_written = written.outcome == store::StoreOutcome::kCommitted;
+    if (written.outcome == store::StoreOutcome::kUnknown) {
       // The nonce tells whether the write took effect after all.
       const auto read = table_->Read({key_});
       const auto present =
@@ -106,7 +106,7 @@
       is_written = present && present->nonce == row.nonce;
     }
     if (!is_written) {
-      return written.outcome == platform::StoreOutcome::kConflict
+      return written.outcome == store::StoreOutcome::kConflict
                  ? LeaseOutcome::kHeldByOther
                  : LeaseOutcome::kStoreUnavailable;
     }
--- a/src/platform/platform_client.cc
+++ b/src/store/store_client.cc
@@ -1,4 +1,4 @@
-#include "platform/platform_client.h"
+#include "store/store_client.h"
 
 #include <utility>
 
@@ -6,7 +6,7 @@
 
 #include "base/json.h"
 
-namespace daisypond::platform {
+namespace daisypond::store {
 
 namespace {
 
@@ -79,14 +79,14 @@
 
 }  // namespace
 
-PlatformClient::PlatformClient(http::Client* client,
-                               std::string address,
-                               base::Millis timeout)
+StoreClient::StoreClient(http::Client* client,
+                         std::string address,
+                         base::Millis timeout)
     : client_(client), address_(std::move(address)), timeout_(timeout) {}
 
-http::ClientRequest PlatformClient::RequestFor(std::string method,
-                                               std::string path,
-                                               std::string body) const {
+http::ClientRequest StoreClient::RequestFor(std::string method,
+                                            std::string path,
+                                            std::string body) const {
   http::ClientRequest request;
   request.method = std::move(method);
   request.address = address_;
@@ -97,7 +97,7 @@
   return request;
 }
 
-TransactionResult PlatformClient::Transact(
+TransactionResult StoreClient::Transact(
     const std::vector<ConditionalWrite>& writes) {
   Json list = Json::array();
   for (const ConditionalWrite& it : writes) {
@@ -118,14 +118,14 @@
   return result;
 }
 
-ReadResult PlatformClient::Read(const std::vector<std::string>& keys) {
+ReadResult StoreClient::Read(const std::vector<std::string>& keys) {
   const auto response =
       client_->Fetch(RequestFor("POST", "/table/read", ReadBody(keys)));
   return ParseRead(response, keys);
 }
 
-void PlatformClient::ReadAsync(const std::vector<std::string>& keys,
-                               std::function<void(ReadResult)> done) {
+void StoreClient::ReadAsync(const std::vector<std::string>& keys,
+                            std::function<void(ReadResult)> done) {
   client_->Start(
       RequestFor("POST", "/table/read", ReadBody(keys)), nullptr,
       [keys, done = std::move(done)](const http::ClientResponse& response) {
@@ -133,13 +133,13 @@
       });
 }
 
-StoreOutcome PlatformClient::PutObject(const std::string& name,
-                                       const std::string& content) {
+StoreOutcome StoreClient::PutObject(const std::string& name,
+                                    const std::string& content) {
   return OutcomeOf(
       client_->Fetch(RequestFor("PUT", "/objects/" + name, content)));
 }
 
-std::optional<std::string> PlatformClient::GetObject(const std::string& name) {
+std::optional<std::string> StoreClient::GetObject(const std::string& name) {
   auto response = client_->Fetch(RequestFor("GET", "/objects/" + name, ""));
   if (!response.IsSuccess()) {
     return std::nullopt;
@@ -147,7 +147,7 @@
   return std::move(response.body);
 }
 
-void PlatformClient::GetObjectAsync(
+void StoreClient::GetObjectAsync(
     const std::string& name,
     std::function<void(std::optional<std::string>)> done) {
   client_->Start(RequestFor("GET", "/objects/" + name, ""), nullptr,
@@ -158,7 +158,7 @@
                  });
 }
 
-void PlatformClient::ListInstancesAsync(
+void StoreClient::ListInstancesAsync(
     std::function<void(std::optional<std::vector<ListedInstance>>)> done) {
   client_->Start(RequestFor("GET", "/instances", ""), nullptr,
                  [done = std::move(done)](const http::ClientResponse& it) {
@@ -166,4 +166,4 @@
                  });
 }
 
-}  // namespace daisypond::platform
+}  // namespace daisypond::store
--- a/src/platform/platform_client.h
+++ b/src/store/store_client.h
@@ -1,5 +1,5 @@
-#ifndef DAISYPOND_PLATFORM_PLATFORM_CLIENT_H_
-#define DAISYPOND_PLATFORM_PLATFORM_CLIENT_H_
+#ifndef DAISYPOND_STORE_STORE_CLIENT_H_
+#define DAISYPOND_STORE_STORE_CLIENT_H_
 
 #include <functional>
 #include <optional>
@@ -8,9 +8,9 @@
 
 #include "base/clock.h"
 #include "http/client.h"
-#include "platform/table_message.h"
+#include "store/table_message.h"
 
-namespace daisypond::platform {
+namespace daisypond::store {
 
 /// An entry of the platform's lagging list of instances.
 struct ListedInstance {
@@ -22,11 +22,9 @@
 
 /// Client of the platform's table service, object store and instance list.
 /// Thread-safe. Models the TableService concept.
-class PlatformClient {
+class StoreClient {
  public:
-  PlatformClient(http::Client* client,
-                 std::string address,
-                 base::Millis timeout);
+  StoreClient(http::Client* client, std::string address, base::Millis timeout);
 
   TransactionResult Transact(const std::vector<ConditionalWrite>& writes);
   ReadResult Read(const std::vector<std::string>& keys);
@@ -60,6 +58,6 @@
   base::Millis timeout_;
 };
 
-}  // namespace daisypond::platform
+}  // namespace daisypond::store
 
-#endif  // DAISYPOND_PLATFORM_PLATFORM_CLIENT_H_
+#endif  // DAISYPOND_STORE_STORE_CLIENT_H_
--- a/src/platform/table_message.h
+++ b/src/store/table_message.h
@@ -1,5 +1,5 @@
-#ifndef DAISYPOND_PLATFORM_TABLE_MESSAGE_H_
-#define DAISYPOND_PLATFORM_TABLE_MESSAGE_H_
+#ifndef DAISYPOND_STORE_TABLE_MESSAGE_H_
+#define DAISYPOND_STORE_TABLE_MESSAGE_H_
 
 #include <concepts>
 #include <cstdint>
@@ -8,7 +8,7 @@
 
 #include "base/name_table.h"
 
-namespace daisypond::platform {
+namespace daisypond::store {
 
 /// A row of the platform's table service. Version 0: the row is absent; each
 /// write counts the version up by one.
@@ -61,6 +61,6 @@
   { table.Read(keys) } -> std::same_as<ReadResult>;
 };
 
-}  // namespace daisypond::platform
+}  // namespace daisypond::store
 
-#endif  // DAISYPOND_PLATFORM_TABLE_MESSAGE_H_
+#endif  // DAISYPOND_STORE_TABLE_MESSAGE_H_
--- a/tests/fake_table.h
+++ b/tests/fake_table.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/table_message.h"
+#include "store/table_message.h"
 
 namespace daisypond::tests {
 
@@ -27,50 +27,50 @@
   explicit FakeTable(uint64_t seed = 1, StoreFaults faults = {})
       : random_(seed), faults_(faults) {}
 
-  platform::TransactionResult Transact(
-      const std::vector<platform::ConditionalWrite>& writes) {
+  store::TransactionResult Transact(
+      const std::vector<store::ConditionalWrite>& writes) {
     const std::lock_guard lock(mutex_);
     ++transactions;
     ApplyDelayed();
     if (Happens(faults_.not_reached)) {
-      return {platform::StoreOutcome::kNotReached, {}};
+      return {store::StoreOutcome::kNotReached, {}};
     }
     if (Happens(faults_.delayed)) {
       delayed_.push_back(writes);
-      return {platform::StoreOutcome::kUnknown, {}};
+      return {store::StoreOutcome::kUnknown, {}};
     }
     const auto result = Apply(writes);
     return Happens(faults_.answer_lost)
-               ? platform::TransactionResult{platform::StoreOutcome::kUnknown,
+               ? store::TransactionResult{store::StoreOutcome::kUnknown,
                                              {}}
                : result;
   }
 
-  platform::ReadResult Read(const std::vector<std::string>& keys) {
+  store::ReadResult Read(const std::vector<std::string>& keys) {
     const std::lock_guard lock(mutex_);
     if (Happens(faults_.not_reached) || Happens(faults_.answer_lost)) {
-      return {platform::StoreOutcome::kUnknown, {}};
+      return {store::StoreOutcome::kUnknown, {}};
     }
     if (random_() % 2 == 0) {
       ApplyDelayed();
     }
-    platform::ReadResult result{platform::StoreOutcome::kCommitted, {}};
+    store::ReadResult result{store::StoreOutcome::kCommitted, {}};
     for (const std::string& it : keys) {
-      platform::Row row = rows_[it];
+      store::Row row = rows_[it];
       row.key = it;
       result.rows.push_back(row);
     }
     return result;
   }
 
-  platform::StoreOutcome PutObject(const std::string& name,
+  store::StoreOutcome PutObject(const std::string& name,
                                    const std::string& content) {
     const std::lock_guard lock(mutex_);
     if (Happens(faults_.not_reached)) {
-      return platform::StoreOutcome::kNotReached;
+      return store::StoreOutcome::kNotReached;
     }
     objects_[name] = content;
-    return platform::StoreOutcome::kCommitted;
+    return store::StoreOutcome::kCommitted;
   }
 
   std::optional<std::string> GetObject(const std::string& name) {
@@ -101,20 +101,20 @@
     delayed_.clear();
   }
 
-  platform::TransactionResult Apply(
-      const std::vector<platform::ConditionalWrite>& writes) {
-    platform::TransactionResult result{platform::StoreOutcome::kCommitted, {}};
+  store::TransactionResult Apply(
+      const std::vector<store::ConditionalWrite>& writes) {
+    store::TransactionResult result{store::StoreOutcome::kCommitted, {}};
     for (const auto& it : writes) {
       if (rows_[it.key].version != it.expected_version) {
         result.conflicts.push_back(it.key);
       }
     }
     if (!result.conflicts.empty()) {
-      result.outcome = platform::StoreOutcome::kConflict;
+      result.outcome = store::StoreOutcome::kConflict;
       return result;
     }
     for (const auto& it : writes) {
-      platform::Row& row = rows_[it.key];
+      store::Row& row = rows_[it.key];
       row.value = it.value;
       ++row.version;
     }
@@ -124,9 +124,9 @@
   std::mutex mutex_;
   std::mt19937_64 random_;
   StoreFaults faults_;
-  std::map<std::string, platform::Row> rows_;
+  std::map<std::string, store::Row> rows_;
   std::map<std::string, std::string> objects_;
-  std::vector<std::vector<platform::ConditionalWrite>> delayed_;
+  std::vector<std::vector<store::ConditionalWrite>> delayed_;
 };
 
 }  // namespace daisypond::tests
