Ask a silent target whether it lives before its run is given up

Ruled out: lost connections (the engines answered later); going on from a copy before the first event (8 of 9 tries refused, no copy exists then; reverted). Conclusion: re-reading prompts is the largest price; it goes on from there.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -42,11 +42,12 @@
   kStreamsResumedFromCopy,
   kAnswersForeign,
   kStoreCalls,
+  kProbes,
   kTargetsUnreadable,
   kConfigurationsUnreadable,
 };
 
-inline constexpr NameTable<Counter, 29> kCounterNames(
+inline constexpr NameTable<Counter, 30> kCounterNames(
     "requests_total",
     "generations_total",
     "tokens_relayed_total",
@@ -74,6 +75,7 @@
     "streams_resumed_from_copy_total",
     "answers_foreign_total",
     "store_calls_total",
+    "probes_total",
     "targets_unreadable_total",
     "configurations_unreadable_total");
 
--- a/src/forward/answer_reader.cc
+++ b/src/forward/answer_reader.cc
@@ -25,10 +25,13 @@
 net::asio::awaitable<ReadStatus> AnswerReader::ReadHead(base::Millis limit) {
   net::TimedSocket& socket = connection_->Socket();
   while (true) {
-    parser_.emplace();
-    parser_->header_limit(kMaximumHeaderBytes);
-    parser_->body_limit(boost::none);
-    parser_->skip(!has_body_);
+    if (!is_in_header_) {
+      parser_.emplace();
+      parser_->header_limit(kMaximumHeaderBytes);
+      parser_->body_limit(boost::none);
+      parser_->skip(!has_body_);
+      is_in_header_ = true;
+    }
     socket.Arm(limit);
     const auto [ec, n] = co_await bhttp::async_read_header(
         socket.Raw(), connection_->Buffer(), *parser_, net::kAsTuple);
@@ -37,6 +40,7 @@
       co_return socket.HasExpired() ? ReadStatus::kTimedOut
                                     : ReadStatus::kBroken;
     }
+    is_in_header_ = false;
     if (Status() < kContinue) {
       co_return ReadStatus::kBroken;
     }
--- a/src/forward/answer_reader.h
+++ b/src/forward/answer_reader.h
@@ -41,7 +41,8 @@
   /// `has_body` is false for answers to HEAD.
   AnswerReader(std::shared_ptr<TargetConnection> connection, bool has_body);
 
-  /// Reads the header by `limit`. kMore: the header is read.
+  /// Reads the next answer's header by `limit`, or goes on with one that was
+  /// not whole at an earlier limit. kMore: the header is read.
   net::asio::awaitable<ReadStatus> ReadHead(base::Millis limit);
 
   /// Reads a part of the body by `limit` and appends it to `into`.
@@ -66,6 +67,8 @@
 
   std::shared_ptr<TargetConnection> connection_;
   bool has_body_;
+  /// A header that was not whole when the time limit passed is read on.
+  bool is_in_header_ = false;
   std::optional<Parser> parser_;
 };
 
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -19,6 +19,8 @@
                            bhttp::fields& into,
                            const SendFacts& send,
                            unsigned status) {
+  // Where a target answers at once, without a place, while it lives.
+  { T::kReportTarget } -> std::convertible_to<const char*>;
   { T::ReadRequest(fields) } -> std::same_as<RequestFacts>;
   // Removes what only this system may say to a target, and the API key.
   { T::RemoveReserved(into) } -> std::same_as<void>;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -16,6 +16,7 @@
 #include "forward/exchange_limits.h"
 #include "forward/forwarder.h"
 #include "forward/http_text.h"
+#include "forward/probe.h"
 #include "forward/send_ledger.h"
 
 namespace daisypond::forward {
@@ -86,6 +87,10 @@
     limit_ =
         request_.arrived_at +
         std::min(facts_.patience.value_or(route_->timeout), route_->timeout);
+    if (CanNotFinishBeforeStop()) {
+      return Refuse(base::Reason::kStopping, "this instance is stopping",
+                    kStoppingRetryAfter);
+    }
     service_ = ChooseService();
     ledger_.emplace(route_->repeatability, route_->maximum_targets);
     last_event_ = facts_.last_event.value_or(0);
@@ -97,6 +102,16 @@
     return std::nullopt;
   }
 
+  /// True when this instance stops before the answer can be expected whole.
+  bool CanNotFinishBeforeStop() const {
+    if (!forwarder_->is_stopping) {
+      return false;
+    }
+    const Millis needed =
+        route_->is_stream ? kExpectedStream : kExpectedCall;
+    return Clock::Now() + needed > forwarder_->stop_at;
+  }
+
   static base::Verdict Refuse(base::Reason reason,
                               std::string detail,
                               Millis retry_after) {
@@ -279,13 +294,17 @@
     if (memory_) {
       copy_.reset();
     }
+    excluded_.insert(placement.id);
     if (result.reason == base::Reason::kErrorAnswer) {
-      forwarder_->board.OnErrorAnswer(placement.id, now);
-    } else {
-      forwarder_->board.OnFailure(placement.id, now);
-      lost_domain_ = placement.failure_domain;
+      return;
     }
-    excluded_.insert(placement.id);
+    if (result.reason == base::Reason::kTargetSilent &&
+        now - forwarder_->board.HeardAt(placement.id) < kHeardLately) {
+      // Others are answered: the request is slow, not the target.
+      return;
+    }
+    forwarder_->board.OnFailure(placement.id, now);
+    lost_domain_ = placement.failure_domain;
   }
 
   void ChooseCopyFor(const Placement& placement) {
@@ -431,26 +450,50 @@
     }
   }
 
-  /// Reads the answer's header. While a stream has not begun, a target that
-  /// is silent for too long is given up if another could do better.
+  /// Reads the answer's header. A target of a repeatable request that is
+  /// silent for too long is given up; for a stream only if it does not answer
+  /// a probe either, as reading a prompt again costs more than waiting.
   net::asio::awaitable<ReadStatus> ReadHead(const Placement& placement,
                                             AnswerReader* reader) {
-    Millis limit = limit_;
-    const bool may_repeat =
-        route_->repeatability != catalog::Repeatability::kRunOnce;
-    if (may_repeat) {
-      limit = std::min(limit, Clock::Now() + HeadBound());
+    if (route_->repeatability == catalog::Repeatability::kRunOnce) {
+      co_return co_await reader->ReadHead(limit_);
+    }
+    Millis patience = HeadBound();
+    while (true) {
+      const Millis bound = std::min(limit_, Clock::Now() + patience);
+      const ReadStatus status = co_await reader->ReadHead(bound);
+      if (status != ReadStatus::kTimedOut || bound >= limit_ ||
+          !route_->is_stream) {
+        co_return status;
+      }
+      if (!co_await IsAlive(placement)) {
+        co_return status;
+      }
+      patience = kRecheckPeriod;
     }
-    co_return co_await reader->ReadHead(limit);
+  }
+
+  /// True when the target was heard of lately or answers a probe.
+  net::asio::awaitable<bool> IsAlive(const Placement& placement) {
+    const Millis now = Clock::Now();
+    if (now - forwarder_->board.HeardAt(placement.id) < kHeardLately) {
+      co_return true;
+    }
+    forwarder_->metrics->Add(base::Counter::kProbes);
+    const bool is_alive =
+        co_await ProbeTarget(forwarder_, placement.id, placement.address,
+                             Names::kReportTarget, now + kProbeTimeout);
+    base::Log(base::LogLevel::kInfo, "probe",
+              {{"request", facts_.id},
+               {"target", placement.id},
+               {"alive", is_alive},
+               {"took_ms", (Clock::Now() - now).count}});
+    co_return is_alive;
   }
 
   Millis HeadBound() const {
-    if (memory_) {
-      return kResumedHeadBound;
-    }
     if (route_->is_stream) {
-      return std::max(kShortestFirstEventBound,
-                      route_->latency_aim * kFirstEventShare / kHundred);
+      return memory_ ? kResumedHeadBound : kFirstEventBound;
     }
     return std::max(kShortestCallBound,
                     route_->latency_aim * kCallShare / kHundred);
@@ -582,9 +625,15 @@
     while (status == ReadStatus::kMore) {
       std::string bytes;
       const Millis bound = has_event ? SilenceBound() : HeadBound();
-      status = co_await reader->ReadSome(
-          &bytes, std::min(StreamLimit(), heard_at + bound));
+      const Millis silent_at = heard_at + bound;
+      status = co_await reader->ReadSome(&bytes,
+                                         std::min(StreamLimit(), silent_at));
       const Millis now = Clock::Now();
+      if (status == ReadStatus::kTimedOut && now >= silent_at &&
+          !CanGoOnFromCopy() && co_await IsAlive(placement)) {
+        heard_at = now - bound + kRecheckPeriod;
+        status = ReadStatus::kMore;
+      }
       if (!bytes.empty()) {
         forwarder_->board.OnHeard(placement.id, now);
         heard_at = now;
@@ -625,6 +674,13 @@
     co_return SendResult{SendOutcome::kAnswered, base::Reason::kNone, written};
   }
 
+  /// True when the present run's memory is copied to an engine that can go
+  /// on with it: giving up a run that is only slow then costs little.
+  bool CanGoOnFromCopy() const {
+    return next_copy_ &&
+           forwarder_->board.Find(next_copy_->id, Clock::Now()).has_value();
+  }
+
   Millis StreamLimit() const {
     return forwarder_->is_stopping ? std::min(limit_, forwarder_->stop_at)
                                    : limit_;
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -26,10 +26,22 @@
 inline constexpr size_t kMaximumSkipBytes = 256u << 10;
 /// Larger answers of plain services are not held in memory.
 inline constexpr size_t kMaximumWholeBytes = 8u << 20;
-/// A first event within this share of the latency aim, in hundredths, leaves
-/// time for a second run within the aim.
-inline constexpr int64_t kFirstEventShare = 50;
-inline constexpr base::Millis kShortestFirstEventBound{1000};
+/// A prompt of the usual length is read within a second; a target that has
+/// not begun to answer then is asked whether it lives.
+inline constexpr base::Millis kFirstEventBound{1300};
+/// A target that lives and still does not answer is asked again after this.
+inline constexpr base::Millis kRecheckPeriod{800};
+/// Any byte of a target within this time shows that it lives; events come
+/// about every 30 to 200 ms.
+inline constexpr base::Millis kHeardLately{400};
+/// A probe needs no place at the target and is answered in a few round trips.
+inline constexpr base::Millis kProbeTimeout{300};
+/// What a stream and a call take from start to end, for deciding whether an
+/// instance that is stopping can still finish them.
+inline constexpr base::Millis kExpectedStream{9000};
+inline constexpr base::Millis kExpectedCall{500};
+/// Another instance takes the request; it need not wait.
+inline constexpr base::Millis kStoppingRetryAfter{50};
 /// An idempotent call is given up at a target after this multiple of the
 /// latency aim, in hundredths.
 inline constexpr int64_t kCallShare = 150;
