Spend no retry on sends that never left; use the early part of a planned stop

Ruled out: engines without room (load was below a fifth). Change: only sends that may have arrived take a retry; streams are taken while they can finish; the first catalog is waited for, 700 ms at most; an address that answers for another process is dropped.

--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -57,9 +57,10 @@
   kHeaderTooLarge,
   kAnswerTorn,
   kErrorAnswer,
+  kTargetReplaced,
 };
 
-inline constexpr NameTable<Reason, 35> kReasonNames("none",
+inline constexpr NameTable<Reason, 36> kReasonNames("none",
                                                     "bad_request",
                                                     "body_too_large",
                                                     "unauthorized",
@@ -93,7 +94,8 @@
                                                     "unknown_route",
                                                     "header_too_large",
                                                     "answer_torn",
-                                                    "error_answer");
+                                                    "error_answer",
+                                                    "target_replaced");
 
 /// What a verdict speaks of.
 enum class Scope : uint8_t {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -37,6 +37,7 @@
   /// Runs to the end of the answer.
   net::asio::awaitable<AfterAnswer> Run() {
     forwarder_->metrics->Add(base::Counter::kForwarded);
+    co_await WaitForCatalog();
     const std::optional<base::Verdict> refusal = Admit();
     if (refusal) {
       co_return co_await AnswerVerdict(*refusal);
@@ -63,6 +64,18 @@
 
   // ---- Admission.
 
+  /// An instance that has just started knows its catalog within a few round
+  /// trips; refusing meanwhile would cost callers a try.
+  net::asio::awaitable<void> WaitForCatalog() {
+    net::asio::steady_timer timer(forwarder_->executor);
+    const Millis limit = request_.arrived_at + kCatalogWait;
+    while (!catalog_.IsComplete() && Clock::Now() < limit) {
+      timer.expires_after(kCatalogPollPeriod.ToChrono());
+      co_await timer.async_wait(net::kAsTuple);
+      catalog_ = forwarder_->catalog;
+    }
+  }
+
   /// Finds route, workspace and time limit. Returns why the request is
   /// refused, if it is.
   std::optional<base::Verdict> Admit() {
@@ -89,7 +102,7 @@
         std::min(facts_.patience.value_or(route_->timeout), route_->timeout);
     if (CanNotFinishBeforeStop()) {
       return Refuse(base::Reason::kStopping, "this instance is stopping",
-                    kStoppingRetryAfter);
+                    TimeUntilOthersAreAsked());
     }
     service_ = ChooseService();
     ledger_.emplace(route_->repeatability, route_->maximum_targets);
@@ -112,6 +125,12 @@
     return Clock::Now() + needed > forwarder_->stop_at;
   }
 
+  /// A caller that comes back sooner may reach this instance again.
+  Millis TimeUntilOthersAreAsked() const {
+    return std::max(kStoppingRetryAfter, forwarder_->out_of_rotation_at -
+                                             Clock::Now());
+  }
+
   static base::Verdict Refuse(base::Reason reason,
                               std::string detail,
                               Millis retry_after) {
@@ -164,7 +183,8 @@
                      : reason;
         break;
       }
-      if (attempts_ > 0 && !TakeRetry(reason)) {
+      // A send that never left is no load on the service.
+      if (ledger_->Sends() > 0 && !TakeRetry(reason)) {
         reason = base::Reason::kRetryBudgetSpent;
         break;
       }
@@ -282,6 +302,9 @@
     const Millis now = Clock::Now();
     if (result.outcome == SendOutcome::kRefused) {
       ++refusals_;
+      if (result.reason == base::Reason::kTargetReplaced) {
+        forwarder_->board.OnReplaced(placement.id);
+      }
       if (memory_) {
         // The engine holds no copy; the copy is of no further use.
         copy_.reset();
@@ -516,7 +539,10 @@
     if (facts.is_not_run && (!facts.id.empty() || connection->Uses() == 1)) {
       const bool is_whole = co_await SkipBody(reader);
       Recycle(connection, *reader, is_whole);
-      co_return SendResult{SendOutcome::kRefused, base::Reason::kTargetRefused,
+      co_return SendResult{SendOutcome::kRefused,
+                           facts.is_wrong_target
+                               ? base::Reason::kTargetReplaced
+                               : base::Reason::kTargetRefused,
                            std::nullopt};
     }
     if (facts.id.empty() || !facts.is_sealed || facts.is_encoded) {
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -38,7 +38,7 @@
 inline constexpr base::Millis kProbeTimeout{300};
 /// What a stream and a call take from start to end, for deciding whether an
 /// instance that is stopping can still finish them.
-inline constexpr base::Millis kExpectedStream{9000};
+inline constexpr base::Millis kExpectedStream{6000};
 inline constexpr base::Millis kExpectedCall{500};
 /// Another instance takes the request; it need not wait.
 inline constexpr base::Millis kStoppingRetryAfter{50};
@@ -58,6 +58,10 @@
 inline constexpr base::Millis kRefusalRetryAfter{300};
 /// An instance that has just started knows its configuration soon.
 inline constexpr base::Millis kConfigurationRetryAfter{300};
+/// Covers the first reads from the table service after a start; longer waits
+/// mean that it is away, and another instance may know more.
+inline constexpr base::Millis kCatalogWait{700};
+inline constexpr base::Millis kCatalogPollPeriod{20};
 
 inline constexpr unsigned kFirstSuccess = 200;
 inline constexpr unsigned kNoContent = 204;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -41,6 +41,8 @@
   bool is_stopping = false;
   /// Open streams and calls are cut at this time; only while stopping.
   base::Millis stop_at;
+  /// From then on new connections go to other instances; only while stopping.
+  base::Millis out_of_rotation_at;
   /// Bytes of requests and answers that are held at present.
   size_t held_bytes = 0;
 };
--- a/src/forward/target_board.cc
+++ b/src/forward/target_board.cc
@@ -60,6 +60,7 @@
   });
   for (const auto& it : targets) {
     TargetState& state = states_[it.first];
+    state.is_replaced = state.is_replaced && state.target == it.second;
     state.target = it.second;
     constexpr double kRange = 18446744073709551616.0;
     state.preference =
@@ -89,6 +90,7 @@
 bool TargetBoard::MayTake(const TargetState& state,
                           const PlacementRequest& request) const {
   return state.target.service == request.service && !state.target.is_leaving &&
+         !state.is_replaced &&
          !request.excluded.contains(state.target.id);
 }
 
@@ -183,6 +185,7 @@
                                            Millis now) const {
   const auto it = states_.find(id);
   if (it == states_.end() || it->second.target.is_leaving ||
+      it->second.is_replaced ||
       now < it->second.avoided_until) {
     return std::nullopt;
   }
@@ -260,6 +263,12 @@
   }
 }
 
+void TargetBoard::OnReplaced(const std::string& id) {
+  if (TargetState* state = StateOf(id)) {
+    state->is_replaced = true;
+  }
+}
+
 void TargetBoard::OnFull(const std::string& id, Millis now) {
   if (TargetState* state = StateOf(id)) {
     state->heard_at = now;
--- a/src/forward/target_board.h
+++ b/src/forward/target_board.h
@@ -27,6 +27,8 @@
   /// New work goes elsewhere before this time if it can.
   base::Millis avoided_until;
   int failures_in_row = 0;
+  /// Its address belongs to another process now.
+  bool is_replaced = false;
   /// The last time that the target failed or was silent, and that it sent
   /// anything at all.
   base::Millis failed_at{INT64_MIN / 2};
@@ -102,6 +104,9 @@
   void OnFailure(const std::string& id, base::Millis now);
   /// The target answered that the request failed.
   void OnErrorAnswer(const std::string& id, base::Millis now);
+  /// Another process has the target's address: it gets nothing more until its
+  /// own entry changes.
+  void OnReplaced(const std::string& id);
   /// The target refused for want of a place.
   void OnFull(const std::string& id, base::Millis now);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -98,7 +98,7 @@
   // ready, a second apart.
   static constexpr base::Millis kBalancerNotice{2500};
   // Left for closing connections before the process is killed.
-  static constexpr base::Millis kStopMargin{400};
+  static constexpr base::Millis kStopMargin{250};
   static constexpr base::Millis kDrainStep{50};
   static constexpr base::Millis kTidyPeriod{500};
   static constexpr base::Millis kAdvancePeriod{200};
@@ -205,6 +205,7 @@
   void BeginStop(base::Millis began_at) {
     forwarder_.is_stopping = true;
     forwarder_.stop_at = began_at + settings_.stop_grace - kStopMargin;
+    forwarder_.out_of_rotation_at = began_at + kBalancerNotice;
     stopping_since_ = began_at;
   }
 
