--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -21,6 +21,20 @@
 
 namespace daisypond::forward {
 
+/// Whether a run goes on from a copy of an earlier run's memory.
+enum class CopyUse : uint8_t {
+  /// There is no copy.
+  kNone,
+  kUsed,
+  /// The engine that keeps the copy is lost or takes no work.
+  kHolderLost,
+  /// The request may not run there again.
+  kHolderExcluded,
+};
+
+inline constexpr base::NameTable<CopyUse, 4>
+    kCopyUseNames("none", "used", "holder_lost", "holder_excluded");
+
 /// Serves one request of a caller: finds its route, sends it to targets until
 /// one has answered, and writes the answer. The catalog of its start stays
 /// with it.
@@ -211,13 +225,16 @@
   std::optional<Placement> Place() {
     const Millis now = Clock::Now();
     memory_.reset();
+    copy_use_ = CopyUse::kNone;
     if (copy_ && HasStreamBegun()) {
       const std::optional<Placement> holder =
           forwarder_->board.Find(copy_->id, now);
       if (holder && ledger_->MaySendTo(holder->id)) {
         memory_ = MemorySource{holder->address, facts_.id};
+        copy_use_ = CopyUse::kUsed;
         return holder;
       }
+      copy_use_ = holder ? CopyUse::kHolderExcluded : CopyUse::kHolderLost;
     }
     PlacementRequest wanted;
     wanted.service = service_;
@@ -282,13 +299,14 @@
                                           base::Reason reason) {
     ++attempts_;
     const Millis began_at = Clock::Now();
+    const int64_t first_event = last_event_;
     ChooseCopyFor(placement);
     LogSend(placement, reason);
     forwarder_->metrics->Add(base::Counter::kSends);
     forwarder_->board.OnSend(placement.id);
     SendResult result = co_await SendOn(placement);
     forwarder_->board.OnEnded(placement.id);
-    ReleaseCopy();
+    SettleCopies(result.outcome, first_event);
     active_.reset();
     ledger_->OnEnded(placement.id, result.outcome);
     LogSendEnded(placement, result, Clock::Now() - began_at);
@@ -305,18 +323,12 @@
       if (result.reason == base::Reason::kTargetReplaced) {
         forwarder_->board.OnReplaced(placement.id);
       }
-      if (memory_) {
-        // The engine holds no copy; the copy is of no further use.
-        copy_.reset();
-      } else {
+      if (!memory_) {
         forwarder_->board.OnFull(placement.id, now);
         excluded_.insert(placement.id);
       }
       return;
     }
-    if (memory_) {
-      copy_.reset();
-    }
     excluded_.insert(placement.id);
     if (result.reason == base::Reason::kErrorAnswer) {
       return;
@@ -349,12 +361,18 @@
     }
   }
 
-  /// The copy that the ended send has made is the one to go on from.
-  void ReleaseCopy() {
+  /// A send that brought events has made the copy to go on from. One that went
+  /// on from a copy has used it up; any other leaves the earlier copy as it is.
+  void SettleCopies(SendOutcome outcome, int64_t first_event) {
     if (next_copy_) {
       forwarder_->board.OnCopyEnded(next_copy_->id);
     }
-    copy_ = std::exchange(next_copy_, std::nullopt);
+    if (last_event_ > first_event) {
+      copy_ = next_copy_;
+    } else if (memory_ && outcome != SendOutcome::kNotSent) {
+      copy_.reset();
+    }
+    next_copy_.reset();
   }
 
   net::asio::awaitable<SendResult> SendOn(const Placement& placement) {
@@ -774,7 +792,7 @@
                {"load", placement.load},
                {"report_age_ms", placement.report_age.count},
                {"copy", next_copy_ ? next_copy_->id : "none"},
-               {"from_copy", memory_.has_value()},
+               {"from_copy", kCopyUseNames.NameOf(copy_use_)},
                {"after_event", last_event_},
                {"left_ms", (limit_ - Clock::Now()).count}});
   }
@@ -844,6 +862,7 @@
   std::optional<Placement> copy_;
   std::optional<Placement> next_copy_;
   std::optional<MemorySource> memory_;
+  CopyUse copy_use_ = CopyUse::kNone;
   /// The last event that the caller has.
   int64_t last_event_ = 0;
   bool is_head_written_ = false;
--- a/src/forward/target_board.cc
+++ b/src/forward/target_board.cc
@@ -24,7 +24,7 @@
 // the length of a long generation.
 constexpr Millis kReportLife{6000};
 // Weights of a score, in requests at a target.
-constexpr double kOtherDomain = 0.6;
+constexpr double kOtherDomain = 2.5;
 constexpr double kPreferenceWeight = 1.2;
 constexpr double kCopyWeight = 0.35;
 constexpr double kFailureWeight = 8;
