Let forwarding instances know each other

Change: the membership driver moved from entry::Control to peer::Group, which both interfaces use; PeerLink adds news of lost targets and FetchCatalog, by which an instance without the table service follows a peer that has it. The slack is split by the members seen.

--- a/src/catalog/target_follower.cc
+++ b/src/catalog/target_follower.cc
@@ -55,6 +55,15 @@
   return has_changed;
 }
 
+bool TargetFollower::OnPeerList(const Targets& listed) {
+  if (!is_away_ || listed == in_force_) {
+    return false;
+  }
+  in_force_ = listed;
+  missing_.clear();
+  return true;
+}
+
 void TargetFollower::OnAway() {
   is_away_ = true;
 }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -12,7 +12,7 @@
 #include "entry/configuration_follower.h"
 #include "entry/instance.h"
 #include "entry/target_poller.h"
-#include "membership/peer_table.h"
+#include "peer/group.h"
 #include "peer/peer_server.h"
 #include "wall/wall.h"
 
@@ -40,28 +40,18 @@
   wall::Snapshot TakeSnapshot() const;
 
  private:
+  peer::GroupHooks Hooks();
   void Seed();
-  void Probe();
-  void ProbeThroughHelpers(const membership::PeerState& peer);
-  void OnProbeResult(const membership::PeerState& peer,
-                     const std::optional<peer::ExchangeReply>& reply);
-  void Absorb(const peer::PeerState& message);
-  void AbsorbNews(
-      const peer::PeerState& sender,
-      const google::protobuf::RepeatedPtrField<peer::PeerState>& changes,
-      const google::protobuf::RepeatedPtrField<peer::Condemned>& condemned,
-      const google::protobuf::RepeatedPtrField<peer::TargetReport>& targets);
-  peer::ExchangeRequest NextMessage();
+  void OnNews(const peer::PeerState& sender, const peer::Attachments& news);
   void AddCondemned(
       google::protobuf::RepeatedPtrField<peer::Condemned>* into) const;
   void Publish();
 
   Instance* instance_;
   base::Millis started_at_;
-  membership::PeerTable table_;
+  peer::Group group_;
   ConfigurationFollower configuration_;
   TargetPoller poller_;
-  int rounds_ = 0;
   mutable std::mutex seen_mutex_;
   std::vector<wall::SeenPeer> seen_;
 };
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -1,9 +1,11 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include <fmt/format.h>
 #include <CLI/CLI.hpp>
@@ -69,7 +71,9 @@
   daisypond::peer::PeerServerParts parts;
   parts.copies = &instance.copies;
   parts.follower = &instance.follower;
-  parts.control = &instance.control;
+  parts.post = [&](std::function<void()> task) {
+    instance.control.Post(std::move(task));
+  };
   parts.on_exchange = [&](const auto& request, auto done) {
     control.OnExchange(request, std::move(done));
   };
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -32,8 +32,10 @@
   kHolderExcluded,
 };
 
-inline constexpr base::NameTable<CopyUse, 4>
-    kCopyUseNames("none", "used", "holder_lost", "holder_excluded");
+inline constexpr base::NameTable<CopyUse, 4> kCopyUseNames("none",
+                                                           "used",
+                                                           "holder_lost",
+                                                           "holder_excluded");
 
 /// Serves one request of a caller: finds its route, sends it to targets until
 /// one has answered, and writes the answer. The catalog of its start stays
@@ -134,15 +136,14 @@
     if (!forwarder_->is_stopping) {
       return false;
     }
-    const Millis needed =
-        route_->is_stream ? kExpectedStream : kExpectedCall;
+    const Millis needed = route_->is_stream ? kExpectedStream : kExpectedCall;
     return Clock::Now() + needed > forwarder_->stop_at;
   }
 
   /// A caller that comes back sooner may reach this instance again.
   Millis TimeUntilOthersAreAsked() const {
-    return std::max(kStoppingRetryAfter, forwarder_->out_of_rotation_at -
-                                             Clock::Now());
+    return std::max(kStoppingRetryAfter,
+                    forwarder_->out_of_rotation_at - Clock::Now());
   }
 
   static base::Verdict Refuse(base::Reason reason,
@@ -339,6 +340,9 @@
       return;
     }
     forwarder_->board.OnFailure(placement.id, now);
+    if (forwarder_->on_target_lost) {
+      forwarder_->on_target_lost(placement.id);
+    }
     lost_domain_ = placement.failure_domain;
   }
 
@@ -558,9 +562,8 @@
       const bool is_whole = co_await SkipBody(reader);
       Recycle(connection, *reader, is_whole);
       co_return SendResult{SendOutcome::kRefused,
-                           facts.is_wrong_target
-                               ? base::Reason::kTargetReplaced
-                               : base::Reason::kTargetRefused,
+                           facts.is_wrong_target ? base::Reason::kTargetReplaced
+                                                 : base::Reason::kTargetRefused,
                            std::nullopt};
     }
     if (facts.id.empty() || !facts.is_sealed || facts.is_encoded) {
@@ -670,8 +673,8 @@
       std::string bytes;
       const Millis bound = has_event ? SilenceBound() : HeadBound();
       const Millis silent_at = heard_at + bound;
-      status = co_await reader->ReadSome(&bytes,
-                                         std::min(StreamLimit(), silent_at));
+      status =
+          co_await reader->ReadSome(&bytes, std::min(StreamLimit(), silent_at));
       const Millis now = Clock::Now();
       if (status == ReadStatus::kTimedOut && now >= silent_at &&
           !CanGoOnFromCopy() && co_await IsAlive(placement)) {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -2,6 +2,7 @@
 #define DAISYPOND_FORWARD_FORWARDER_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "base/metrics.h"
@@ -38,6 +39,8 @@
   TargetBoard board;
   ConnectionPool pool;
   RetryLimit retries;
+  /// Called when a target broke off, could not be reached or fell silent.
+  std::function<void(const std::string& target)> on_target_lost;
   bool is_stopping = false;
   /// Open streams and calls are cut at this time; only while stopping.
   base::Millis stop_at;
--- a/src/forward/retry_limit.h
+++ b/src/forward/retry_limit.h
@@ -35,6 +35,8 @@
  public:
   explicit RetryLimit(RetryLimitOptions options) : options_(options) {}
 
+  void SetAllowance(double allowance) { options_.allowance = allowance; }
+
   void OnRequest(const std::string& service, base::Millis now);
 
   /// Counts a repeated send; false when it would go over the limit.
--- a/src/forward/target_board.cc
+++ b/src/forward/target_board.cc
@@ -20,6 +20,9 @@
 constexpr Millis kFullAvoidance{150};
 // Failures this close together have one cause.
 constexpr Millis kDomainWindow{1500};
+// What a peer has lost is avoided this long if others are as good.
+constexpr Millis kSuspicion{1500};
+constexpr double kSuspectedWeight = 4;
 // Reports of others' load count in full when new and nothing after this time:
 // the length of a long generation.
 constexpr Millis kReportLife{6000};
@@ -90,8 +93,7 @@
 bool TargetBoard::MayTake(const TargetState& state,
                           const PlacementRequest& request) const {
   return state.target.service == request.service && !state.target.is_leaving &&
-         !state.is_replaced &&
-         !request.excluded.contains(state.target.id);
+         !state.is_replaced && !request.excluded.contains(state.target.id);
 }
 
 double TargetBoard::ScoreOf(const TargetState& state,
@@ -114,6 +116,10 @@
     score +=
         kAvoidedWeight + static_cast<double>((state.avoided_until - now).count);
   }
+  if (state.suspected_at > state.heard_at &&
+      state.suspected_at + kSuspicion > now) {
+    score += kSuspectedWeight;
+  }
   if (!request.avoided_domain.empty() &&
       state.target.failure_domain == request.avoided_domain) {
     score += kAvoidedDomainWeight;
@@ -185,8 +191,7 @@
                                            Millis now) const {
   const auto it = states_.find(id);
   if (it == states_.end() || it->second.target.is_leaving ||
-      it->second.is_replaced ||
-      now < it->second.avoided_until) {
+      it->second.is_replaced || now < it->second.avoided_until) {
     return std::nullopt;
   }
   return PlacementOf(it->second, 0, now);
@@ -256,6 +261,18 @@
   AddOutcome(state, true);
 }
 
+void TargetBoard::OnPeerFailure(const std::string& id, Millis now) {
+  if (TargetState* state = StateOf(id)) {
+    state->suspected_at = now;
+  }
+}
+
+bool TargetBoard::IsSuspected(const std::string& id, Millis now) const {
+  const auto it = states_.find(id);
+  return it != states_.end() && it->second.suspected_at > it->second.heard_at &&
+         it->second.suspected_at + kSuspicion > now;
+}
+
 void TargetBoard::OnErrorAnswer(const std::string& id, Millis now) {
   if (TargetState* state = StateOf(id)) {
     state->heard_at = now;
--- a/src/forward/target_board.h
+++ b/src/forward/target_board.h
@@ -35,6 +35,8 @@
   base::Millis heard_at{INT64_MIN / 2};
   /// Part of recent sends that failed, 0 to 1.
   double failure_rate = 0;
+  /// The last time that a peer lost it.
+  base::Millis suspected_at{INT64_MIN / 2};
   /// Position of this instance's preference for the target, 0 to 1: instances
   /// prefer different targets, so that few of them meet at one.
   double preference = 0;
@@ -102,6 +104,11 @@
   void OnSuccess(const std::string& id, base::Millis now);
   /// The target broke off, could not be reached or fell silent.
   void OnFailure(const std::string& id, base::Millis now);
+  /// A peer has lost the target. Counts only until this instance hears of it,
+  /// as the peer may be cut off itself.
+  void OnPeerFailure(const std::string& id, base::Millis now);
+  /// True when a peer has lost the target and it was not heard of since.
+  bool IsSuspected(const std::string& id, base::Millis now) const;
   /// The target answered that the request failed.
   void OnErrorAnswer(const std::string& id, base::Millis now);
   /// Another process has the target's address: it gets nothing more until its
--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +17,15 @@
 
 namespace daisypond::gateway {
 
+/// What a peer holds of the catalog.
+struct PeerCatalog {
+  /// Empty when the peer holds no newer one.
+  std::string configuration;
+  std::optional<catalog::Targets> targets;
+  /// Since the peer heard of the table service.
+  base::Millis age;
+};
+
 /// Turns rows of the table service into the catalog in force. Runs on the
 /// control thread; `Format` decodes rows and names tables.
 template <typename Format>
@@ -89,8 +99,48 @@
     }
   }
 
-  void OnStoreAway() { follower_.OnAway(); }
-  void OnStoreAnswered() { follower_.OnAnswered(base::Clock::Now()); }
+  void OnStoreAway() {
+    if (!follower_.IsAway()) {
+      away_since_ = base::Clock::Now();
+    }
+    follower_.OnAway();
+  }
+  void OnStoreAnswered() {
+    has_listed_ = true;
+    follower_.OnAnswered(base::Clock::Now());
+  }
+
+  /// How long ago the table service was last known to answer: zero while it
+  /// does. Empty when it never did and no peer has told of it.
+  std::optional<base::Millis> Age() const {
+    if (!has_listed_) {
+      return std::nullopt;
+    }
+    return follower_.IsAway() ? base::Clock::Now() - away_since_
+                              : base::Millis{0};
+  }
+
+  /// True while a peer may know more than this instance.
+  bool NeedsPeers() const {
+    return !catalog_.IsComplete() || !has_listed_ || follower_.IsAway();
+  }
+
+  /// Takes over what a peer holds if it is newer.
+  void OnPeerCatalog(const PeerCatalog& peer) {
+    if (!peer.configuration.empty()) {
+      OnConfigurationText(peer.configuration);
+    }
+    const std::optional<base::Millis> age = Age();
+    if (!peer.targets || !NeedsPeers() || (age && *age <= peer.age)) {
+      return;
+    }
+    follower_.OnAway();
+    has_listed_ = true;
+    away_since_ = base::Clock::Now() - peer.age;
+    if (follower_.OnPeerList(*peer.targets) || catalog_.targets == nullptr) {
+      PublishTargets("peer");
+    }
+  }
 
   void Advance() {
     if (follower_.Advance(base::Clock::Now())) {
@@ -158,6 +208,9 @@
   catalog::TargetFollower follower_;
   catalog::Catalog catalog_;
   std::string configuration_text_;
+  /// The targets were listed by the table service or taken from a peer.
+  bool has_listed_ = false;
+  base::Millis away_since_;
 };
 
 }  // namespace daisypond::gateway
--- a/src/gateway/forwarder_options.cc
+++ b/src/gateway/forwarder_options.cc
@@ -1,15 +1,18 @@
 #include "gateway/forwarder_options.h"
 
+#include <algorithm>
+
 namespace daisypond::gateway {
 
 namespace {
 
 // Requests and repeated sends are counted in windows that other instances
-// and the users place differently.
-constexpr double kRatioShare = 0.7;
-// Instances that may share the slack; a deployment has fewer, or so many that
-// the ratio's own margin covers the rest.
-constexpr double kSlackShares = 40;
+// place differently.
+constexpr double kRatioShare = 0.95;
+// The rest covers instances that have not noticed others yet.
+constexpr double kSlackShare = 0.6;
+// Until others are known; no deployment has many more instances.
+constexpr size_t kAssumedMembers = 350;
 
 }  // namespace
 
@@ -19,8 +22,13 @@
   options.failure_domain = settings.failure_domain;
   options.retries.window = settings.retries.window;
   options.retries.ratio = settings.retries.ratio * kRatioShare;
-  options.retries.allowance = settings.retries.slack / kSlackShares;
+  options.retries.allowance = AllowanceOf(settings, kAssumedMembers);
   return options;
 }
 
+double AllowanceOf(const Settings& settings, size_t members) {
+  return settings.retries.slack * kSlackShare /
+         static_cast<double>(std::max<size_t>(members, 1));
+}
+
 }  // namespace daisypond::gateway
--- a/src/gateway/forwarder_options.h
+++ b/src/gateway/forwarder_options.h
@@ -9,6 +9,9 @@
 /// What this instance takes of the bounds that hold for all together.
 forward::ForwarderOptions ForwarderOptionsOf(const Settings& settings);
 
+/// Repeated sends beyond the ratio for one of `members` instances.
+double AllowanceOf(const Settings& settings, size_t members);
+
 }  // namespace daisypond::gateway
 
 #endif  // DAISYPOND_GATEWAY_FORWARDER_OPTIONS_H_
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "forward/session.h"
 #include "gateway/catalog_source.h"
 #include "gateway/forwarder_options.h"
+#include "gateway/peer_link.h"
 #include "gateway/settings.h"
 #include "gateway/status_server.h"
 #include "net/address.h"
@@ -49,7 +50,11 @@
         target_watcher_(&target_reader_,
                         {.table = Format::kTargetTable},
                         TargetEvents()),
-        acceptor_(traffic_) {}
+        acceptor_(traffic_) {
+    forwarder_.on_target_lost = [this](const std::string& target) {
+      asio::post(control_, [this, target] { peers_->TellLost(target); });
+    };
+  }
 
   /// Opens the ports and starts both threads. False when a port is taken.
   bool Start() {
@@ -60,11 +65,18 @@
     if (!status_->IsRunning()) {
       return false;
     }
+    peers_.emplace(settings_, &metrics_, PeerHooks());
+    if (!peers_->IsRunning()) {
+      return false;
+    }
     asio::co_spawn(traffic_, Accept(), asio::detached);
     asio::co_spawn(traffic_, Tidy(), asio::detached);
     asio::co_spawn(control_, configuration_watcher_.Run(), asio::detached);
     asio::co_spawn(control_, target_watcher_.Run(), asio::detached);
-    asio::co_spawn(control_, AdvanceTargets(), asio::detached);
+    Every(kAdvancePeriod, [this] { source_.Advance(); });
+    Every(peer::Group::kProbePeriod, [this] { peers_->Probe(); });
+    Every(peer::Group::kSeedPeriod, [this] { peers_->Contact(); });
+    Every(PeerLink::kFetchPeriod, [this] { peers_->Fetch(); });
     traffic_thread_ = std::thread([this] { traffic_.run(); });
     control_thread_ = std::thread([this] { control_.run(); });
     return true;
@@ -76,6 +88,7 @@
     is_ready_ = false;
     const base::Millis began_at = base::Clock::Now();
     asio::post(traffic_, [this, began_at] { BeginStop(began_at); });
+    asio::post(control_, [this] { peers_->Leave(); });
     while (!IsDrained(began_at)) {
       std::this_thread::sleep_for(kDrainStep.ToChrono());
     }
@@ -89,6 +102,8 @@
     traffic_.stop();
     control_thread_.join();
     traffic_thread_.join();
+    // Its calls end before what they report to.
+    peers_.reset();
   }
 
  private:
@@ -193,15 +208,67 @@
     }
   }
 
-  asio::awaitable<void> AdvanceTargets() {
+  /// Runs `task` on the control thread, now and then every `period`.
+  template <typename Task>
+  void Every(base::Millis period, Task task) {
+    asio::co_spawn(control_, Repeat(period, std::move(task)), asio::detached);
+  }
+
+  template <typename Task>
+  asio::awaitable<void> Repeat(base::Millis period, Task task) {
     asio::steady_timer timer(control_);
     while (true) {
-      timer.expires_after(kAdvancePeriod.ToChrono());
+      task();
+      timer.expires_after(period.ToChrono());
       co_await timer.async_wait(net::kAsTuple);
-      source_.Advance();
     }
   }
 
+  PeerLinkHooks PeerHooks() {
+    PeerLinkHooks hooks;
+    hooks.post = [this](std::function<void()> task) {
+      asio::post(control_, std::move(task));
+    };
+    hooks.version = [this] { return source_.Version(); };
+    hooks.catalog = [this](uint64_t known) { return CatalogFor(known); };
+    hooks.needs_peers = [this] { return source_.NeedsPeers(); };
+    hooks.on_catalog = [this](const PeerCatalog& it) {
+      source_.OnPeerCatalog(it);
+    };
+    hooks.on_target_lost = [this](const std::string& target) {
+      asio::post(traffic_, [this, target] {
+        forwarder_.board.OnPeerFailure(target, base::Clock::Now());
+      });
+    };
+    hooks.on_members = [this](size_t n) { OnMembers(n); };
+    return hooks;
+  }
+
+  PeerCatalog CatalogFor(uint64_t known) const {
+    PeerCatalog catalog;
+    if (source_.Version() > known) {
+      catalog.configuration = source_.ConfigurationText();
+    }
+    const std::optional<base::Millis> age = source_.Age();
+    if (age && source_.Current().targets != nullptr) {
+      catalog.targets = *source_.Current().targets;
+      catalog.age = *age;
+    }
+    return catalog;
+  }
+
+  void OnMembers(size_t n) {
+    if (n == members_) {
+      return;
+    }
+    base::Log(base::LogLevel::kInfo, "members",
+              {{"n", n}, {"before", members_}});
+    members_ = n;
+    asio::post(traffic_, [this, n] {
+      forwarder_.retries.SetAllowance(AllowanceOf(settings_, n));
+    });
+  }
+
   void BeginStop(base::Millis began_at) {
     forwarder_.is_stopping = true;
     forwarder_.stop_at = began_at + settings_.stop_grace - kStopMargin;
@@ -250,6 +317,8 @@
   catalog::TableWatcher<typename Format::Reader> target_watcher_;
   net::Tcp::acceptor acceptor_;
   std::optional<StatusServer> status_;
+  std::optional<PeerLink> peers_;
+  size_t members_ = 0;
   std::map<uint64_t, std::shared_ptr<Session>> sessions_;
   uint64_t last_session_ = 0;
   base::Millis stopping_since_;
--- a/src/peer/peer_client.cc
+++ b/src/peer/peer_client.cc
@@ -255,6 +255,24 @@
       std::move(done));
 }
 
+void PeerClient::FetchCatalog(const std::string& address,
+                              uint64_t known_version,
+                              base::Millis timeout,
+                              OnCatalog done) {
+  auto request = std::make_shared<FetchCatalogRequest>();
+  request->set_known_version(known_version);
+  Start<FetchCatalogRequest, FetchCatalogReply>(
+      address, *request, timeout,
+      [request](auto* stub, auto* context, const auto&, auto* reply,
+                auto on_done) {
+        stub->FetchCatalog(context, request.get(), reply,
+                           [request, on_done](const grpc::Status& status) {
+                             on_done(status);
+                           });
+      },
+      std::move(done));
+}
+
 void PeerClient::ReportDeath(const std::string& address,
                              const ReportDeathRequest& request) {
   auto shared = std::make_shared<ReportDeathRequest>(request);
--- a/src/peer/peer_client.h
+++ b/src/peer/peer_client.h
@@ -37,6 +37,8 @@
   using OnConfiguration =
       std::function<void(std::optional<FetchConfigurationReply>)>;
 
+  using OnCatalog = std::function<void(std::optional<FetchCatalogReply>)>;
+
   PeerClient(PeerClientOptions options, base::Metrics* metrics);
   ~PeerClient();
   PeerClient(const PeerClient&) = delete;
@@ -63,6 +65,11 @@
                           base::Millis timeout,
                           OnConfiguration done);
 
+  void FetchCatalog(const std::string& address,
+                    uint64_t known_version,
+                    base::Millis timeout,
+                    OnCatalog done);
+
   /// Sends without waiting for an answer.
   void ReportDeath(const std::string& address,
                    const ReportDeathRequest& request);
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -25,6 +25,9 @@
   grpc::ServerUnaryReactor* AppendCopies(grpc::CallbackServerContext* context,
                                          const AppendRequest* request,
                                          AppendReply* reply) override {
+    if (parts_.copies == nullptr) {
+      return NotServed(context);
+    }
     const base::Millis now = base::Clock::Now();
     for (const Append& it : request->appends()) {
       reply->add_outcomes(
@@ -36,6 +39,9 @@
   grpc::ServerUnaryReactor* TakeOver(grpc::CallbackServerContext* context,
                                      const TakeOverRequest* request,
                                      TakeOverReply* reply) override {
+    if (parts_.copies == nullptr) {
+      return NotServed(context);
+    }
     *reply = ToMessage(parts_.copies->TakeOver(
         request->key(), request->body_digest(), request->attempt(),
         static_cast<uint16_t>(request->holder_tag()), base::Clock::Now()));
@@ -46,7 +52,7 @@
                                      const ExchangeRequest* request,
                                      ExchangeReply* reply) override {
     auto* reactor = context->DefaultReactor();
-    parts_.control->Post([this, request, reply, reactor] {
+    parts_.post([this, request, reply, reactor] {
       parts_.on_exchange(*request, [reply, reactor](ExchangeReply answer) {
         *reply = std::move(answer);
         reactor->Finish(grpc::Status::OK);
@@ -58,7 +64,7 @@
   grpc::ServerUnaryReactor* ReportDeath(grpc::CallbackServerContext* context,
                                         const ReportDeathRequest* request,
                                         ReportDeathReply* reply) override {
-    parts_.control->Post([this, copy = *request] { parts_.on_death(copy); });
+    parts_.post([this, copy = *request] { parts_.on_death(copy); });
     return Done(context);
   }
 
@@ -66,6 +72,9 @@
       grpc::CallbackServerContext* context,
       const FetchConfigurationRequest* request,
       FetchConfigurationReply* reply) override {
+    if (parts_.follower == nullptr) {
+      return NotServed(context);
+    }
     reply->set_version(parts_.follower->Version());
     if (reply->version() > request->known_version()) {
       reply->set_bundle(*parts_.follower->CurrentBundleJson());
@@ -73,7 +82,29 @@
     return Done(context);
   }
 
+  grpc::ServerUnaryReactor* FetchCatalog(grpc::CallbackServerContext* context,
+                                         const FetchCatalogRequest* request,
+                                         FetchCatalogReply* reply) override {
+    if (!parts_.on_fetch_catalog) {
+      return NotServed(context);
+    }
+    auto* reactor = context->DefaultReactor();
+    parts_.post([this, request, reply, reactor] {
+      *reply = parts_.on_fetch_catalog(*request);
+      reactor->Finish(grpc::Status::OK);
+    });
+    return reactor;
+  }
+
  private:
+  static grpc::ServerUnaryReactor* NotServed(
+      grpc::CallbackServerContext* context) {
+    auto* reactor = context->DefaultReactor();
+    reactor->Finish(grpc::Status(grpc::StatusCode::UNIMPLEMENTED,
+                                 "this instance does not serve the call"));
+    return reactor;
+  }
+
   static grpc::ServerUnaryReactor* Done(grpc::CallbackServerContext* context) {
     auto* reactor = context->DefaultReactor();
     reactor->Finish(grpc::Status::OK);
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -7,7 +7,6 @@
 
 #include <grpcpp/grpcpp.h>
 
-#include "base/control_loop.h"
 #include "generation/copy_store.h"
 #include "intents/follower.h"
 #include "peer/generated/peers.grpc.pb.h"
@@ -22,12 +21,19 @@
 /// Takes in a report of a target's death on the control thread.
 using DeathHandler = std::function<void(const ReportDeathRequest& request)>;
 
+/// Tells what this instance holds of the catalog; on the control thread.
+using FetchCatalogHandler =
+    std::function<FetchCatalogReply(const FetchCatalogRequest& request)>;
+
+/// Calls that have no part are answered as not implemented.
 struct PeerServerParts {
   generation::CopyStore* copies = nullptr;
   intents::Follower* follower = nullptr;
-  base::ControlLoop* control = nullptr;
+  /// Runs a task on the control thread, from any thread.
+  std::function<void(std::function<void()>)> post;
   ExchangeHandler on_exchange;
   DeathHandler on_death;
+  FetchCatalogHandler on_fetch_catalog;
 };
 
 /// Serves the Peers protocol. Copies are stored on gRPC's threads, membership
