--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -43,11 +43,12 @@
   kAnswersForeign,
   kStoreCalls,
   kProbes,
+  kCopiesOnDemand,
   kTargetsUnreadable,
   kConfigurationsUnreadable,
 };
 
-inline constexpr NameTable<Counter, 30> kCounterNames(
+inline constexpr NameTable<Counter, 31> kCounterNames(
     "requests_total",
     "generations_total",
     "tokens_relayed_total",
@@ -76,6 +77,7 @@
     "answers_foreign_total",
     "store_calls_total",
     "probes_total",
+    "copies_on_demand_total",
     "targets_unreadable_total",
     "configurations_unreadable_total");
 
--- a/src/catalog/configuration.h
+++ b/src/catalog/configuration.h
@@ -64,6 +64,8 @@
   int64_t tokens_per_event = 1;
   /// Engines copy a run's memory to another engine while it grows.
   bool copies_memory = false;
+  /// Engines copy a run's memory to another engine when asked.
+  bool copies_on_demand = false;
   /// How long a copy is kept after its run has broken off.
   base::Millis copy_kept{0};
 };
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -16,8 +16,9 @@
 #include "forward/exchange_limits.h"
 #include "forward/forwarder.h"
 #include "forward/http_text.h"
-#include "forward/probe.h"
+#include "forward/run_copy.h"
 #include "forward/send_ledger.h"
+#include "forward/target_call.h"
 
 namespace daisypond::forward {
 
@@ -229,20 +230,25 @@
     copy_use_ = CopyUse::kNone;
     if (copy_ && HasStreamBegun()) {
       const std::optional<Placement> holder =
-          forwarder_->board.Find(copy_->id, now);
+          forwarder_->board.Find(copy_->holder.id, now);
       if (holder && ledger_->MaySendTo(holder->id)) {
-        memory_ = MemorySource{holder->address, facts_.id};
+        memory_ = copy_->source;
         copy_use_ = CopyUse::kUsed;
         return holder;
       }
       copy_use_ = holder ? CopyUse::kHolderExcluded : CopyUse::kHolderLost;
     }
+    if (broken_ && MayCopyRuns() && ledger_->MaySendAgain()) {
+      // If only the connection broke, the engine still holds the prompt.
+      return std::exchange(broken_, std::nullopt);
+    }
     PlacementRequest wanted;
     wanted.service = service_;
     wanted.failure_domain = forwarder_->options.failure_domain;
     wanted.excluded = excluded_;
     wanted.avoided_domain = lost_domain_;
     wanted.is_engine = engine_ != nullptr;
+    wanted.affinity_key = base::Hash(facts_.prompt);
     std::optional<Placement> placement = forwarder_->board.Choose(wanted, now);
     if (!placement && !excluded_.empty() &&
         route_->repeatability == catalog::Repeatability::kResumable) {
@@ -339,6 +345,13 @@
       // Others are answered: the request is slow, not the target.
       return;
     }
+    const bool is_connection_lost =
+        result.reason == base::Reason::kTargetBroken ||
+        result.reason == base::Reason::kAnswerTorn;
+    if (is_connection_lost && !was_broken_at_.contains(placement.id)) {
+      was_broken_at_.insert(placement.id);
+      broken_ = placement;
+    }
     forwarder_->board.OnFailure(placement.id, now);
     if (forwarder_->on_target_lost) {
       forwarder_->on_target_lost(placement.id);
@@ -346,12 +359,12 @@
     lost_domain_ = placement.failure_domain;
   }
 
-  void ChooseCopyFor(const Placement& placement) {
-    next_copy_.reset();
-    if (engine_ == nullptr || !engine_->copies_memory || !route_->is_stream ||
-        route_->repeatability != catalog::Repeatability::kResumable) {
-      return;
-    }
+  bool MayCopyRuns() const {
+    return engine_ != nullptr && route_->is_stream &&
+           route_->repeatability == catalog::Repeatability::kResumable;
+  }
+
+  PlacementRequest CopyRequestFor(const Placement& placement) const {
     PlacementRequest wanted;
     wanted.service = service_;
     wanted.failure_domain = forwarder_->options.failure_domain;
@@ -359,10 +372,20 @@
     wanted.excluded.insert(placement.id);
     wanted.avoided_domain = placement.failure_domain;
     wanted.is_engine = true;
-    next_copy_ = forwarder_->board.ChooseCopy(wanted, Clock::Now());
+    wanted.affinity_key = base::Hash(facts_.prompt);
+    return wanted;
+  }
+
+  void ChooseCopyFor(const Placement& placement) {
+    next_copy_.reset();
+    if (MayCopyRuns() && engine_->copies_memory) {
+      next_copy_ = forwarder_->board.ChooseCopy(CopyRequestFor(placement),
+                                                Clock::Now());
+    }
     if (next_copy_) {
       forwarder_->board.OnCopyBegun(next_copy_->id);
     }
+    keeper_.emplace(forwarder_, facts_.id, placement, next_copy_);
   }
 
   /// A send that brought events has made the copy to go on from. One that went
@@ -371,12 +394,16 @@
     if (next_copy_) {
       forwarder_->board.OnCopyEnded(next_copy_->id);
     }
+    if (outcome == SendOutcome::kAnswered) {
+      keeper_->Release();
+    }
     if (last_event_ > first_event) {
-      copy_ = next_copy_;
+      copy_ = keeper_->Current();
     } else if (memory_ && outcome != SendOutcome::kNotSent) {
       copy_.reset();
     }
     next_copy_.reset();
+    keeper_.reset();
   }
 
   net::asio::awaitable<SendResult> SendOn(const Placement& placement) {
@@ -525,9 +552,11 @@
       co_return true;
     }
     forwarder_->metrics->Add(base::Counter::kProbes);
-    const bool is_alive =
-        co_await ProbeTarget(forwarder_, placement.id, placement.address,
-                             Names::kReportTarget, now + kProbeTimeout);
+    TargetCall call{placement.id, placement.address, "GET",
+                    Names::kReportTarget, ""};
+    const std::optional<TargetAnswer> answer = co_await CallTarget(
+        forwarder_, std::move(call), now + kProbeTimeout);
+    const bool is_alive = answer.has_value();
     base::Log(base::LogLevel::kInfo, "probe",
               {{"request", facts_.id},
                {"target", placement.id},
@@ -697,6 +726,9 @@
         has_event = true;
         forwarder_->metrics->Add(base::Counter::kEventsRelayed);
       }
+      if (!text.empty() && MayCopyRuns() && engine_->copies_on_demand) {
+        keeper_->Advance(CopyRequestFor(placement), now);
+      }
       if (!text.empty() && !co_await WriteEvents(text, *reader, after)) {
         is_gone_ = true;
         co_return SendResult{SendOutcome::kUnknown, base::Reason::kCallerGone,
@@ -724,8 +756,8 @@
   /// True when the present run's memory is copied to an engine that can go
   /// on with it: giving up a run that is only slow then costs little.
   bool CanGoOnFromCopy() const {
-    return next_copy_ &&
-           forwarder_->board.Find(next_copy_->id, Clock::Now()).has_value();
+    const std::optional<RunCopy>& copy = keeper_->Current();
+    return copy && forwarder_->board.Find(copy->holder.id, Clock::Now());
   }
 
   Millis StreamLimit() const {
@@ -854,6 +886,9 @@
   int refusals_ = 0;
   std::set<std::string> excluded_;
   std::string lost_domain_;
+  /// The engine whose connection broke last; tried once more.
+  std::optional<Placement> broken_;
+  std::set<std::string> was_broken_at_;
   bool is_gone_ = false;
   /// The connection of the present send.
   std::shared_ptr<TargetConnection> active_;
@@ -862,8 +897,9 @@
   unsigned kept_status_ = 0;
   /// The engine that keeps a copy of the run of the last send, and of the
   /// present one.
-  std::optional<Placement> copy_;
+  std::optional<RunCopy> copy_;
   std::optional<Placement> next_copy_;
+  std::optional<CopyKeeper<Names>> keeper_;
   std::optional<MemorySource> memory_;
   CopyUse copy_use_ = CopyUse::kNone;
   /// The last event that the caller has.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -12,7 +12,7 @@
     : executor(traffic_executor),
       options(std::move(forwarder_options)),
       metrics(process_metrics),
-      board(options.instance, base::RandomNumber()),
+      board(base::RandomNumber()),
       pool(traffic_executor),
       retries(options.retries) {}
 
--- a/src/forward/message.h
+++ b/src/forward/message.h
@@ -26,6 +26,9 @@
   int64_t prompt_tokens = 0;
   /// Most tokens that the answer may have.
   int64_t maximum_output_tokens = 0;
+  /// Identifies the prompt: requests with equal texts share all of it. Empty
+  /// when the caller does not say.
+  std::string prompt;
   /// The caller's guess of the answer's length, in tokens.
   std::optional<int64_t> expected_output_tokens;
 };
--- a/src/forward/target_board.cc
+++ b/src/forward/target_board.cc
@@ -39,6 +39,12 @@
 // Weight of the newest outcome in a failure rate.
 constexpr double kOutcomeWeight = 0.15;
 
+/// Maps a hash to 0 to 1.
+double ToFraction(uint64_t hash) {
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(hash) / kRange;
+}
+
 void AddOutcome(TargetState* state, bool has_failed) {
   state->failure_rate +=
       kOutcomeWeight * ((has_failed ? 1.0 : 0.0) - state->failure_rate);
@@ -46,13 +52,9 @@
 
 }  // namespace
 
-TargetBoard::TargetBoard(std::string instance, uint64_t seed)
-    : instance_(std::move(instance)), random_(seed) {}
-
 double TargetBoard::Random() {
   random_ = base::Hash("", random_);
-  constexpr double kRange = 18446744073709551616.0;
-  return static_cast<double>(random_) / kRange;
+  return ToFraction(random_);
 }
 
 void TargetBoard::Configure(const catalog::Targets& targets) {
@@ -65,10 +67,6 @@
     TargetState& state = states_[it.first];
     state.is_replaced = state.is_replaced && state.target == it.second;
     state.target = it.second;
-    constexpr double kRange = 18446744073709551616.0;
-    state.preference =
-        static_cast<double>(base::Hash(it.first, base::Hash(instance_))) /
-        kRange;
   }
 }
 
@@ -103,7 +101,8 @@
       static_cast<double>(std::max<int64_t>(state.target.slots, 1));
   double score = LoadOf(state, now);
   if (request.is_engine) {
-    score += kPreferenceWeight * state.preference;
+    score += kPreferenceWeight *
+             ToFraction(base::Hash(state.target.id, request.affinity_key));
     score += kCopyWeight * static_cast<double>(state.own_copies);
   } else {
     score = score / slots * kPlainLoadScale;
--- a/src/forward/target_board.h
+++ b/src/forward/target_board.h
@@ -37,9 +37,6 @@
   double failure_rate = 0;
   /// The last time that a peer lost it.
   base::Millis suspected_at{INT64_MIN / 2};
-  /// Position of this instance's preference for the target, 0 to 1: instances
-  /// prefer different targets, so that few of them meet at one.
-  double preference = 0;
 };
 
 /// What a placement depends on.
@@ -53,6 +50,9 @@
   /// is copied, or that of a lost target.
   std::string avoided_domain;
   bool is_engine = false;
+  /// Requests with equal keys prefer the same engine, at every instance: it
+  /// may still hold the prompt of a request that comes again.
+  uint64_t affinity_key = 0;
 };
 
 /// The chosen target and what decided it.
@@ -74,7 +74,7 @@
 /// answers. Pure: time comes in as an argument.
 class TargetBoard {
  public:
-  TargetBoard(std::string instance, uint64_t seed);
+  explicit TargetBoard(uint64_t seed) : random_(seed) {}
 
   /// Takes over the targets in force; knowledge of those that stay is kept.
   void Configure(const catalog::Targets& targets);
@@ -140,7 +140,6 @@
                         base::Millis now) const;
   double Random();
 
-  std::string instance_;
   uint64_t random_;
   std::map<std::string, TargetState> states_;
 };
--- /dev/null
+++ b/src/forward/target_call.cc
@@ -0,0 +1,78 @@
+#include "forward/target_call.h"
+
+#include <memory>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "forward/answer_reader.h"
+
+namespace daisypond::forward {
+
+namespace {
+
+constexpr base::Millis kAnyIdle{30'000};
+constexpr size_t kMaximumAnswerBytes = 256u << 10;
+
+std::string TextOf(const TargetCall& call) {
+  std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method,
+                                 call.path, call.address);
+  if (!call.body.empty()) {
+    text += fmt::format(
+        "Content-Type: application/json\r\nContent-Length: {}\r\n",
+        call.body.size());
+  }
+  return text + "\r\n" + call.body;
+}
+
+net::asio::awaitable<std::optional<TargetAnswer>> ReadAnswer(
+    Forwarder* forwarder,
+    std::shared_ptr<TargetConnection> connection,
+    base::Millis limit) {
+  AnswerReader reader(connection, true);
+  TargetAnswer answer;
+  ReadStatus status = co_await reader.ReadHead(limit);
+  while (status == ReadStatus::kMore &&
+         answer.body.size() < kMaximumAnswerBytes) {
+    status = co_await reader.ReadSome(&answer.body, limit);
+  }
+  if (status != ReadStatus::kDone) {
+    connection->Socket().Close();
+    co_return std::nullopt;
+  }
+  answer.status = reader.Status();
+  if (reader.IsFramed() && reader.IsKeptAlive() &&
+      connection->Buffer().size() == 0) {
+    forwarder->pool.Put(connection, base::Clock::Now());
+  } else {
+    connection->Socket().Close();
+  }
+  co_return answer;
+}
+
+}  // namespace
+
+net::asio::awaitable<std::optional<TargetAnswer>> CallTarget(
+    Forwarder* forwarder,
+    TargetCall call,
+    base::Millis limit) {
+  std::shared_ptr<TargetConnection> connection =
+      forwarder->pool.Take(call.target, kAnyIdle, base::Clock::Now());
+  if (connection == nullptr) {
+    connection = forwarder->pool.Make(call.target, call.address);
+    forwarder->metrics->Add(base::Counter::kConnectionsOpened);
+    const net::ErrorCode ec =
+        co_await connection->Socket().Connect(call.address, limit);
+    if (ec) {
+      co_return std::nullopt;
+    }
+  }
+  connection->StartWrite(TextOf(call));
+  const auto answer = co_await ReadAnswer(forwarder, connection, limit);
+  if (answer) {
+    forwarder->board.OnHeard(call.target, base::Clock::Now());
+  }
+  co_return answer;
+}
+
+}  // namespace daisypond::forward
