--- a/src/catalog/table_watcher.h
+++ b/src/catalog/table_watcher.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,9 +21,8 @@
 
 struct TableWatcherOptions {
   std::string table;
-  /// How long one call may wait for a change. Shorter waits notice a silent
-  /// connection sooner and cost more calls.
-  base::Millis wait{5000};
+  /// How often a watcher that makes no calls asks whether it may.
+  base::Millis idle_period{100};
   /// Pause after a change, so that changes that come together share a call.
   base::Millis gather{300};
   /// First and longest pause after a failed call. The longest is well under
@@ -37,6 +37,8 @@
   std::function<void(const std::vector<Row>&)> on_changed;
   std::function<void()> on_answered;
   std::function<void(ReadFault)> on_away;
+  /// How long the next call may wait for a change; empty: no call now.
+  std::function<std::optional<base::Millis>()> next_wait;
 };
 
 /// Keeps up with one table: reads it as a whole, then waits for changes, and
@@ -65,11 +67,15 @@
  private:
   /// Makes one call. Returns how long to pause before the next.
   boost::asio::awaitable<base::Millis> Step() {
+    const std::optional<base::Millis> wait = events_.next_wait();
+    if (!wait) {
+      co_return options_.idle_period;
+    }
     if (!is_listed_) {
       co_return co_await ListAll();
     }
     const ReadResult result =
-        co_await reader_->Changes(options_.table, version_, options_.wait);
+        co_await reader_->Changes(options_.table, version_, *wait);
     if (!result) {
       co_return OnFault(result.error());
     }
--- a/src/catalog/target_follower.cc
+++ b/src/catalog/target_follower.cc
@@ -56,7 +56,7 @@
 }
 
 bool TargetFollower::OnPeerList(const Targets& listed) {
-  if (!is_away_ || listed == in_force_) {
+  if (listed == in_force_) {
     return false;
   }
   in_force_ = listed;
--- a/src/catalog/target_follower.h
+++ b/src/catalog/target_follower.h
@@ -33,9 +33,8 @@
   /// Takes in changes since the last list or change.
   bool OnChanged(const std::vector<TargetChange>& changes, base::Millis now);
 
-  /// Takes over the list of a peer that has heard of the table service later.
-  /// Only while the table service is away. Returns true when the targets in
-  /// force changed.
+  /// Takes over what a peer that has heard of the table service later has in
+  /// force. Returns true when the targets in force changed.
   bool OnPeerList(const Targets& listed);
 
   bool IsAway() const { return is_away_; }
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -200,7 +200,8 @@
         break;
       }
       // A send that never left is no load on the service.
-      if (ledger_->Sends() > 0 && !TakeRetry(reason)) {
+      if (ledger_->Sends() > 0 && !TakeRetry(reason) &&
+          !co_await BorrowRetry(reason)) {
         reason = base::Reason::kRetryBudgetSpent;
         break;
       }
@@ -270,6 +271,26 @@
     return true;
   }
 
+  /// Other instances may have retries left that they don't need.
+  net::asio::awaitable<bool> BorrowRetry(base::Reason reason) {
+    if (!forwarder_->borrow_retries || reason == base::Reason::kErrorAnswer) {
+      co_return false;
+    }
+    auto timer = std::make_shared<net::asio::steady_timer>(
+        forwarder_->executor, kBorrowTimeout.ToChrono());
+    forwarder_->borrow_retries(
+        service_, [forwarder = forwarder_, service = service_, timer](int n) {
+          if (n > 0) {
+            forwarder->retries.OnBorrowed(service, n, Clock::Now());
+            timer->cancel();
+          }
+        });
+    co_await timer->async_wait(net::kAsTuple);
+    const bool is_taken = !is_gone_ && TakeRetry(reason);
+    LogBorrowed(is_taken);
+    co_return is_taken;
+  }
+
   net::asio::awaitable<AfterAnswer> GiveUp(base::Reason reason) {
     if (is_gone_) {
       forwarder_->metrics->Add(base::Counter::kCallersGone);
@@ -379,8 +400,8 @@
   void ChooseCopyFor(const Placement& placement) {
     next_copy_.reset();
     if (MayCopyRuns() && engine_->copies_memory) {
-      next_copy_ = forwarder_->board.ChooseCopy(CopyRequestFor(placement),
-                                                Clock::Now());
+      next_copy_ =
+          forwarder_->board.ChooseCopy(CopyRequestFor(placement), Clock::Now());
     }
     if (next_copy_) {
       forwarder_->board.OnCopyBegun(next_copy_->id);
@@ -554,14 +575,10 @@
     forwarder_->metrics->Add(base::Counter::kProbes);
     TargetCall call{placement.id, placement.address, "GET",
                     Names::kReportTarget, ""};
-    const std::optional<TargetAnswer> answer = co_await CallTarget(
-        forwarder_, std::move(call), now + kProbeTimeout);
+    const std::optional<TargetAnswer> answer =
+        co_await CallTarget(forwarder_, std::move(call), now + kProbeTimeout);
     const bool is_alive = answer.has_value();
-    base::Log(base::LogLevel::kInfo, "probe",
-              {{"request", facts_.id},
-               {"target", placement.id},
-               {"alive", is_alive},
-               {"took_ms", (Clock::Now() - now).count}});
+    LogProbe(placement, is_alive, Clock::Now() - now);
     co_return is_alive;
   }
 
@@ -832,6 +849,21 @@
                {"left_ms", (limit_ - Clock::Now()).count}});
   }
 
+  void LogProbe(const Placement& placement, bool is_alive, Millis took) const {
+    base::Log(base::LogLevel::kInfo, "probe",
+              {{"request", facts_.id},
+               {"target", placement.id},
+               {"alive", is_alive},
+               {"took_ms", took.count}});
+  }
+
+  void LogBorrowed(bool is_granted) const {
+    base::Log(base::LogLevel::kInfo, "retry_borrowed",
+              {{"request", facts_.id},
+               {"service", service_},
+               {"granted", is_granted}});
+  }
+
   void LogSendEnded(const Placement& placement,
                     const SendResult& result,
                     Millis took) const {
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -19,6 +19,8 @@
 /// Requests that may run once only don't risk a connection that the target
 /// may be closing: it fails them without telling whether they ran.
 inline constexpr base::Millis kLongestIdleForRunOnce{1000};
+/// Peers answer within a few round trips.
+inline constexpr base::Millis kBorrowTimeout{60};
 /// Refusals by targets before the request is refused.
 inline constexpr int kMaximumRefusals = 4;
 /// Answers to earlier requests that are skipped on one connection.
--- /dev/null
+++ b/src/forward/forward_test.cc
@@ -0,0 +1,612 @@
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "forward/session.h"
+#include "tests/fake_target.h"
+#include "tests/plain_dialect.h"
+#include "tests/test_macros.h"
+
+namespace daisypond::forward {
+
+namespace {
+
+namespace asio = boost::asio;
+using tests::FakeTarget;
+using tests::Wire;
+
+constexpr int kShortMs = 3000;
+
+/// A whole answer of a target.
+std::string Answer(int status,
+                   const std::string& id,
+                   const std::string& body,
+                   const std::string& extra = "Seal: s\r\n") {
+  return fmt::format(
+      "HTTP/1.1 {} X\r\nRequest-Id: {}\r\n{}Content-Length: {}\r\n\r\n{}",
+      status, id, extra, body.size(), body);
+}
+
+std::string StreamHead(const std::string& id) {
+  return fmt::format(
+      "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nSeal: s\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+      id);
+}
+
+std::string Event(int64_t id) {
+  const std::string text = fmt::format("id: {0}\ndata: token {0}\n\n", id);
+  return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+
+/// The value of a field in a header, or "".
+std::string FieldOf(const std::string& head, const std::string& name) {
+  const size_t at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos) {
+    return "";
+  }
+  const size_t from = at + name.size() + 4;
+  return head.substr(from, head.find("\r\n", from) - from);
+}
+
+/// A forwarding instance on a loopback port, without a table service.
+class Instance {
+ public:
+  Instance() : acceptor_(io_) {
+    ForwarderOptions options;
+    options.instance = "test";
+    options.failure_domain = "a";
+    options.retries.allowance = 10;
+    forwarder_.emplace(io_.get_executor(), options, &metrics);
+    acceptor_.open(net::Tcp::v4());
+    acceptor_.bind(net::Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    acceptor_.listen();
+    port_ = acceptor_.local_endpoint().port();
+    asio::co_spawn(io_, Accept(), asio::detached);
+    thread_ = std::thread([this] { io_.run(); });
+  }
+
+  ~Instance() {
+    io_.stop();
+    thread_.join();
+    for (size_t i = 0; i < base::kInvariantNames.Size(); ++i) {
+      EXPECT_EQ(int64_t{0}, metrics.Violated(static_cast<base::Invariant>(i)));
+    }
+  }
+
+  Instance(const Instance&) = delete;
+  Instance& operator=(const Instance&) = delete;
+
+  void Apply(const catalog::Catalog& next) {
+    std::atomic<bool> is_done = false;
+    asio::post(io_, [&] {
+      forwarder_->Apply(next);
+      is_done = true;
+    });
+    while (!is_done) {
+      std::this_thread::yield();
+    }
+  }
+
+  void BeginStop(base::Millis left) {
+    std::atomic<bool> is_done = false;
+    asio::post(io_, [&] {
+      forwarder_->is_stopping = true;
+      forwarder_->stop_at = base::Clock::Now() + left;
+      is_done = true;
+    });
+    while (!is_done) {
+      std::this_thread::yield();
+    }
+  }
+
+  uint16_t Port() const { return port_; }
+
+  base::Metrics metrics;
+
+ private:
+  asio::awaitable<void> Accept() {
+    while (true) {
+      auto [ec, socket] = co_await acceptor_.async_accept(net::kAsTuple);
+      if (ec) {
+        co_return;
+      }
+      auto session = std::make_shared<Session<tests::PlainDialect>>(
+          &*forwarder_, std::move(socket));
+      asio::co_spawn(
+          io_, [session]() { return session->Run(); }, asio::detached);
+    }
+  }
+
+  asio::io_context io_{1};
+  std::optional<Forwarder> forwarder_;
+  net::Tcp::acceptor acceptor_;
+  uint16_t port_ = 0;
+  std::thread thread_;
+};
+
+/// A caller's connection.
+class Caller {
+ public:
+  explicit Caller(uint16_t port) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    wire.emplace(fd_);
+  }
+  ~Caller() { Leave(); }
+  Caller(const Caller&) = delete;
+  Caller& operator=(const Caller&) = delete;
+
+  void Leave() {
+    if (fd_ >= 0) {
+      close(fd_);
+      fd_ = -1;
+    }
+  }
+
+  void Ask(const std::string& method,
+           const std::string& path,
+           const std::string& id,
+           const std::string& extra = "") {
+    wire->Send(fmt::format(
+        "{} {} HTTP/1.1\r\nHost: h\r\nRequest-Id: {}\r\nKey: k\r\n{}\r\n",
+        method, path, id, extra));
+  }
+
+  std::optional<Wire> wire;
+
+ private:
+  int fd_;
+};
+
+SUITE(ForwardTest) {
+  CPPUNIT_TEST_SUITE(ForwardTest);
+  CPPUNIT_TEST(TestAnswerPassesUnchanged);
+  CPPUNIT_TEST(TestHeaderTowardsTheTarget);
+  CPPUNIT_TEST(TestUnknownRouteKeyAndCatalog);
+  CPPUNIT_TEST(TestAmbiguousRequestReachesNobody);
+  CPPUNIT_TEST(TestSuccessWithoutSealIsNone);
+  CPPUNIT_TEST(TestTornAnswerOfRunOnceIsNotSentAgain);
+  CPPUNIT_TEST(TestIdempotentGoesToAnotherTarget);
+  CPPUNIT_TEST(TestRefusedRunOnceGoesToAnotherTarget);
+  CPPUNIT_TEST(TestAnswerToAnEarlierRequestIsSkipped);
+  CPPUNIT_TEST(TestExtraBytesEndAKeptConnection);
+  CPPUNIT_TEST(TestTargetsFailurePassesForRunOnce);
+  CPPUNIT_TEST(TestCallerThatLeavesFreesTheTarget);
+  CPPUNIT_TEST(TestStreamGoesOnAfterALoss);
+  CPPUNIT_TEST(TestStreamGoesOnFromACopy);
+  CPPUNIT_TEST(TestSilentEngineIsLeft);
+  CPPUNIT_TEST(TestSkippedEventIsNotPassed);
+  CPPUNIT_TEST(TestStreamThatCanNotGoOnHasNoEnd);
+  CPPUNIT_TEST(TestSlowFirstEventIsWaitedForWhileTheEngineLives);
+  CPPUNIT_TEST(TestTimeoutOfTheRouteIsKept);
+  CPPUNIT_TEST(TestStoppingInstanceRefusesWhatItCanNotFinish);
+  CPPUNIT_TEST(TestReplacedTargetIsLeft);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    targets_.clear();
+    instance_ = std::make_unique<Instance>();
+  }
+
+  void tearDown() override {
+    targets_.clear();
+    instance_.reset();
+  }
+
+  void TestAnswerPassesUnchanged() {
+    AddTarget([](Wire& wire, const std::string& head) {
+      return wire.Send(Answer(201, FieldOf(head, "Request-Id"), "body",
+                              "Seal: s7\r\nX: y\r\n"));
+    });
+    Caller caller(instance_->Port());
+    for (int i = 0; i < 3; ++i) {
+      caller.Ask("POST", "/once/a", fmt::format("r{}", i),
+                 "Content-Length: 0\r\n");
+      const std::string head = caller.wire->ReadUntil("\r\n\r\n", kShortMs);
+      EXPECT(head.starts_with("HTTP/1.1 201 X\r\n"));
+      EXPECT_EQ(std::string("s7"), FieldOf(head, "Seal"));
+      EXPECT_EQ(std::string("y"), FieldOf(head, "X"));
+      EXPECT_EQ(std::string("body"), caller.wire->ReadUntil("body", kShortMs));
+    }
+  }
+
+  void TestHeaderTowardsTheTarget() {
+    FakeTarget& target = AddTarget([](Wire& wire, const std::string& head) {
+      return wire.Send(Answer(200, FieldOf(head, "Request-Id"), "b"));
+    });
+    Caller caller(instance_->Port());
+    caller.Ask("GET", "/safe/a?q=%2F&r", "r1",
+               "Patience-Ms: 2000\r\nTarget-Id: mine\r\nWorkspace: other\r\n"
+               "Goes-On-From: x\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+               "X-End: 2\r\n");
+    caller.wire->ReadUntil("\r\n\r\nb", kShortMs);
+    const std::string head = target.Requests().at(0);
+    EXPECT(head.starts_with("GET /safe/a?q=%2F&r HTTP/1.1\r\n"));
+    EXPECT_EQ(std::string("t0"), FieldOf(head, "Target-Id"));
+    EXPECT_EQ(std::string("w"), FieldOf(head, "Workspace"));
+    EXPECT_EQ(std::string(""), FieldOf(head, "Goes-On-From"));
+    EXPECT_EQ(std::string(""), FieldOf(head, "Key"));
+    EXPECT_EQ(std::string(""), FieldOf(head, "X-Hop"));
+    EXPECT_EQ(std::string("2"), FieldOf(head, "X-End"));
+    const int left = std::stoi(FieldOf(head, "Patience-Ms"));
+    EXPECT(left > 0 && left <= 2000);
+  }
+
+  void TestUnknownRouteKeyAndCatalog() {
+    {
+      Caller caller(instance_->Port());
+      caller.Ask("GET", "/safe/a", "r1");
+      const std::string head = caller.wire->ReadUntil("\r\n\r\n", kShortMs);
+      EXPECT(head.starts_with("HTTP/1.1 503 "));
+      EXPECT(!FieldOf(head, "Retry-After").empty());
+    }
+    AddTarget([](Wire&, const std::string&) { return false; });
+    Caller caller(instance_->Port());
+    caller.Ask("GET", "/none/a", "r2");
+    EXPECT(caller.wire->ReadUntil("\r\n\r\n", kShortMs)
+               .starts_with("HTTP/1.1 404 "));
+    Caller other(instance_->Port());
+    other.wire->Send(
+        "GET /safe/a HTTP/1.1\r\nHost: h\r\nRequest-Id: r3\r\n"
+        "Key: wrong\r\n\r\n");
+    EXPECT(other.wire->ReadUntil("\r\n\r\n", kShortMs)
+               .starts_with("HTTP/1.1 401 "));
+    EXPECT(targets_[0]->Requests().empty());
+  }
+
+  void TestAmbiguousRequestReachesNobody() {
+    AddTarget([](Wire&, const std::string&) { return false; });
+    for (const char* it :
+         {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+          "Content-Length: 5\r\nContent-Length: 6\r\n", "Host: other\r\n",
+          "Content-Length: x\r\n"}) {
+      Caller caller(instance_->Port());
+      caller.Ask("POST", "/once/a", "r1", it);
+      const std::string text = caller.wire->ReadUntil("", 1000);
+      EXPECT(text.starts_with("HTTP/1.1 400 "));
+      EXPECT(caller.wire->IsClosed());
+    }
+    EXPECT(targets_[0]->Requests().empty());
+  }
+
+  void TestSuccessWithoutSealIsNone() {
+    AddTarget([](Wire& wire, const std::string& head) {
+      return wire.Send(Answer(200, FieldOf(head, "Request-Id"), "b", ""));
+    });
+    EXPECT_EQ(std::string("502"), StatusOfOne("POST", "/once/a"));
+  }
+
+  void TestTornAnswerOfRunOnceIsNotSentAgain() {
+    const auto torn = [](Wire& wire, const std::string& head) {
+      const std::string text = Answer(200, FieldOf(head, "Request-Id"), "body");
+      wire.Send(text.substr(0, text.size() - 2));
+      return false;
+    };
+    AddTarget(torn);
+    AddTarget(torn);
+    EXPECT_EQ(std::string("502"), StatusOfOne("POST", "/once/a"));
+    EXPECT_EQ(size_t{1}, RequestsOfAll());
+  }
+
+  void TestIdempotentGoesToAnotherTarget() {
+    std::atomic<int> n = 0;
+    const auto first_fails = [&n](Wire& wire, const std::string& head) {
+      return ++n == 1 ? false
+                      : wire.Send(Answer(200, FieldOf(head, "Request-Id"), ""));
+    };
+    AddTarget(first_fails);
+    AddTarget(first_fails);
+    EXPECT_EQ(std::string("200"), StatusOfOne("GET", "/safe/a"));
+    EXPECT_EQ(size_t{2}, RequestsOfAll());
+  }
+
+  void TestRefusedRunOnceGoesToAnotherTarget() {
+    std::atomic<int> n = 0;
+    const auto first_refuses = [&n](Wire& wire, const std::string& head) {
+      const std::string id = FieldOf(head, "Request-Id");
+      return wire.Send(++n == 1 ? Answer(503, id, "", "Not-Run: 1\r\n")
+                                : Answer(200, id, ""));
+    };
+    AddTarget(first_refuses);
+    AddTarget(first_refuses);
+    EXPECT_EQ(std::string("200"), StatusOfOne("POST", "/once/a"));
+  }
+
+  void TestAnswerToAnEarlierRequestIsSkipped() {
+    AddTarget([](Wire& wire, const std::string& head) {
+      return wire.Send(Answer(200, "earlier", "wrong") +
+                       Answer(200, FieldOf(head, "Request-Id"), "right"));
+    });
+    Caller caller(instance_->Port());
+    caller.Ask("POST", "/once/a", "r1", "Content-Length: 0\r\n");
+    const std::string text = caller.wire->ReadUntil("right", kShortMs);
+    EXPECT(text.ends_with("right"));
+    EXPECT(text.find("wrong") == std::string::npos);
+  }
+
+  void TestExtraBytesEndAKeptConnection() {
+    FakeTarget& target = AddTarget([](Wire& wire, const std::string& head) {
+      return wire.Send(Answer(200, FieldOf(head, "Request-Id"), "b") +
+                       Answer(200, "x", "extra"));
+    });
+    Caller caller(instance_->Port());
+    for (int i = 0; i < 3; ++i) {
+      caller.Ask("GET", "/safe/a", fmt::format("r{}", i));
+      EXPECT(caller.wire->ReadUntil("\r\n\r\nb", kShortMs).ends_with("b"));
+    }
+    EXPECT_EQ(size_t{3}, target.Requests().size());
+    EXPECT_EQ(int64_t{3},
+              instance_->metrics.Value(base::Counter::kConnectionsOpened));
+  }
+
+  void TestTargetsFailurePassesForRunOnce() {
+    AddTarget([](Wire& wire, const std::string& head) {
+      return wire.Send(Answer(500, FieldOf(head, "Request-Id"), "own"));
+    });
+    Caller caller(instance_->Port());
+    caller.Ask("POST", "/once/a", "r1", "Content-Length: 0\r\n");
+    const std::string text = caller.wire->ReadUntil("own", kShortMs);
+    EXPECT(text.starts_with("HTTP/1.1 500 "));
+    EXPECT_EQ(std::string("s"), FieldOf(text, "Seal"));
+  }
+
+  void TestCallerThatLeavesFreesTheTarget() {
+    std::atomic<bool> is_closed = false;
+    AddTarget([&](Wire& wire, const std::string&) {
+      is_closed = wire.ClosesWithin(kShortMs);
+      return false;
+    });
+    Caller caller(instance_->Port());
+    caller.Ask("GET", "/safe/a", "r1", "Patience-Ms: 20000\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    caller.Leave();
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    EXPECT(is_closed);
+  }
+
+  void TestStreamGoesOnAfterALoss() {
+    AddEngines(3, [this](Wire& wire, const std::string& head) {
+      return Serve(wire, head, 6, 3);
+    });
+    const std::string text = ReadStream("r1", "");
+    EXPECT_EQ(std::string("1,2,3,4,5,6,end"), EventsOf(text));
+    EXPECT(n_sends_ >= 2);
+  }
+
+  void TestStreamGoesOnFromACopy() {
+    AddEngines(2, [this](Wire& wire, const std::string& head) {
+      if (FieldOf(head, "After-Event").empty()) {
+        copy_to_ = FieldOf(head, "Copy-To");
+      } else {
+        from_copy_ = FieldOf(head, "Goes-On-From");
+      }
+      return Serve(wire, head, 6, 3);
+    });
+    EXPECT_EQ(std::string("1,2,3,4,5,6,end"), EventsOf(ReadStream("r1", "")));
+    EXPECT(!copy_to_.empty());
+    EXPECT_EQ(copy_to_ + "/r1", from_copy_);
+  }
+
+  void TestSilentEngineIsLeft() {
+    AddEngines(2, [this](Wire& wire, const std::string& head) {
+      if (++n_sends_ > 1) {
+        return Serve(wire, head, 4, 4);
+      }
+      wire.Send(StreamHead(FieldOf(head, "Request-Id")) + Event(1) + Event(2));
+      EXPECT(wire.ClosesWithin(kShortMs));
+      return false;
+    });
+    const base::Millis began_at = base::Clock::Now();
+    EXPECT_EQ(std::string("1,2,3,4,end"), EventsOf(ReadStream("r1", "")));
+    // The route accepts a pause of 700 ms.
+    EXPECT(base::Clock::Now() - began_at < base::Millis{700});
+  }
+
+  void TestSkippedEventIsNotPassed() {
+    AddEngines(2, [this](Wire& wire, const std::string& head) {
+      if (++n_sends_ > 1) {
+        return Serve(wire, head, 4, 4);
+      }
+      wire.Send(StreamHead(FieldOf(head, "Request-Id")) + Event(1) + Event(3));
+      wire.ClosesWithin(kShortMs);
+      return false;
+    });
+    EXPECT_EQ(std::string("1,2,3,4,end"), EventsOf(ReadStream("r1", "")));
+  }
+
+  void TestStreamThatCanNotGoOnHasNoEnd() {
+    AddEngines(1, [](Wire& wire, const std::string& head) {
+      if (!FieldOf(head, "After-Event").empty()) {
+        return false;
+      }
+      wire.Send(StreamHead(FieldOf(head, "Request-Id")) + Event(1));
+      return false;
+    });
+    EXPECT_EQ(std::string("1"), EventsOf(ReadStream("r1", "")));
+  }
+
+  void TestSlowFirstEventIsWaitedForWhileTheEngineLives() {
+    AddEngines(2, [this](Wire& wire, const std::string& head) {
+      if (head.starts_with("GET /alive")) {
+        return wire.Send(Answer(200, "", ""));
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+      return Serve(wire, head, 2, 2);
+    });
+    EXPECT_EQ(std::string("1,2,end"), EventsOf(ReadStream("r1", "")));
+    EXPECT_EQ(1, n_sends_.load());
+  }
+
+  void TestTimeoutOfTheRouteIsKept() {
+    AddTarget([](Wire& wire, const std::string&) {
+      wire.ClosesWithin(kShortMs);
+      return false;
+    });
+    const base::Millis began_at = base::Clock::Now();
+    EXPECT_EQ(std::string("504"), StatusOfOne("POST", "/once/a"));
+    const base::Millis took = base::Clock::Now() - began_at;
+    EXPECT(took >= base::Millis{950} && took < base::Millis{1400});
+  }
+
+  void TestStoppingInstanceRefusesWhatItCanNotFinish() {
+    AddEngines(1, [this](Wire& wire, const std::string& head) {
+      return Serve(wire, head, 2, 2);
+    });
+    instance_->BeginStop(base::Millis{3000});
+    const std::string text = ReadStream("r1", "");
+    EXPECT(text.starts_with("HTTP/1.1 503 "));
+    EXPECT(!FieldOf(text, "Retry-After").empty());
+    EXPECT_EQ(std::string("close"), FieldOf(text, "Connection"));
+    EXPECT_EQ(0, n_sends_.load());
+  }
+
+  void TestReplacedTargetIsLeft() {
+    FakeTarget& target = AddTarget([](Wire& wire, const std::string& head) {
+      return wire.Send(
+          Answer(421, FieldOf(head, "Request-Id"), "", "Not-Run: 1\r\n"));
+    });
+    EXPECT_EQ(std::string("503"), StatusOfOne("POST", "/once/a"));
+    EXPECT_EQ(std::string("503"), StatusOfOne("POST", "/once/a"));
+    EXPECT_EQ(size_t{1}, target.Requests().size());
+  }
+
+ private:
+  FakeTarget& AddTarget(FakeTarget::Script script) {
+    targets_.push_back(std::make_unique<FakeTarget>(std::move(script)));
+    Publish();
+    return *targets_.back();
+  }
+
+  void AddEngines(int n, const FakeTarget::Script& script) {
+    for (int i = 0; i < n; ++i) {
+      AddTarget(script);
+    }
+  }
+
+  void Publish() {
+    auto configuration = std::make_shared<catalog::Configuration>();
+    configuration->version = 1;
+    configuration->has_workspaces = true;
+    configuration->workspaces["k"] = {"w", std::nullopt};
+    catalog::Service service;
+    service.name = "s";
+    service.engine.emplace();
+    service.engine->copies_memory = true;
+    configuration->services["s"] = service;
+    AddRoute("/once/", catalog::Repeatability::kRunOnce, false,
+             configuration.get());
+    AddRoute("/safe/", catalog::Repeatability::kIdempotent, false,
+             configuration.get());
+    AddRoute("/stream/", catalog::Repeatability::kResumable, true,
+             configuration.get());
+    auto targets = std::make_shared<catalog::Targets>();
+    for (size_t i = 0; i < targets_.size(); ++i) {
+      catalog::Target target;
+      target.id = fmt::format("t{}", i);
+      target.service = "s";
+      target.address = targets_[i]->Address();
+      target.failure_domain = i % 2 == 0 ? "a" : "b";
+      target.slots = 8;
+      targets->emplace(target.id, target);
+    }
+    instance_->Apply({configuration, targets});
+  }
+
+  static void AddRoute(const std::string& prefix,
+                       catalog::Repeatability repeatability, bool is_stream,
+                       catalog::Configuration* into) {
+    catalog::Route route;
+    route.name = prefix;
+    route.host = "h";
+    route.prefix = prefix;
+    route.repeatability = repeatability;
+    route.is_stream = is_stream;
+    route.timeout = is_stream ? base::Millis{10'000} : base::Millis{1000};
+    route.latency_aim = {300};
+    route.gap_aim = {700};
+    route.maximum_targets = 5;
+    route.services.push_back({"s", 1});
+    into->routes.push_back(route);
+  }
+
+  std::string StatusOfOne(const std::string& method, const std::string& path) {
+    Caller caller(instance_->Port());
+    caller.Ask(method, path, "r1", "Content-Length: 0\r\n");
+    const std::string head = caller.wire->ReadUntil("\r\n\r\n", kShortMs);
+    return head.size() < 12 ? head : head.substr(9, 3);
+  }
+
+  std::string ReadStream(const std::string& id, const std::string& extra) {
+    Caller caller(instance_->Port());
+    caller.Ask("GET", "/stream/a", id, extra);
+    constexpr int kStreamMs = 8000;
+    return caller.wire->ReadUntil("\r\n0\r\n\r\n", kStreamMs);
+  }
+
+  /// Serves events after the one that the request names, `n` in all, and
+  /// breaks off after `n_here` of them.
+  bool Serve(Wire & wire, const std::string& head, int n, int n_here) {
+    ++n_sends_;
+    const std::string after = FieldOf(head, "After-Event");
+    int id = after.empty() ? 0 : std::stoi(after);
+    wire.Send(StreamHead(FieldOf(head, "Request-Id")));
+    for (int i = 0; i < n_here && id < n; ++i) {
+      wire.Send(Event(++id));
+    }
+    if (id < n) {
+      // Half of an event.
+      wire.Send("20\r\nid: 99\nda");
+      return false;
+    }
+    return wire.Send("0\r\n\r\n");
+  }
+
+  /// "1,2,3,end": the ids that a caller got, and "end" if the stream ended.
+  static std::string EventsOf(const std::string& text) {
+    std::string ids;
+    for (size_t at = text.find("id: "); at != std::string::npos;
+         at = text.find("id: ", at + 1)) {
+      ids += (ids.empty() ? "" : ",") +
+             text.substr(at + 4, text.find('\n', at) - at - 4);
+    }
+    return ids + (text.ends_with("\r\n0\r\n\r\n") ? ",end" : "");
+  }
+
+  size_t RequestsOfAll() const {
+    size_t n = 0;
+    for (const auto& it : targets_) {
+      n += it->Requests().size();
+    }
+    return n;
+  }
+
+  std::unique_ptr<Instance> instance_;
+  std::vector<std::unique_ptr<FakeTarget>> targets_;
+  std::atomic<int> n_sends_ = 0;
+  std::string copy_to_;
+  std::string from_copy_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForwardTest);
+
+}  // namespace
+
+}  // namespace daisypond::forward
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -41,6 +41,10 @@
   RetryLimit retries;
   /// Called when a target broke off, could not be reached or fell silent.
   std::function<void(const std::string& target)> on_target_lost;
+  /// Asks peers to count repeated sends to a service. `done` may run several
+  /// times, with the number that one peer has taken over.
+  std::function<void(const std::string& service, std::function<void(int)> done)>
+      borrow_retries;
   bool is_stopping = false;
   /// Open streams and calls are cut at this time; only while stopping.
   base::Millis stop_at;
--- a/src/forward/retry_limit.h
+++ b/src/forward/retry_limit.h
@@ -24,6 +24,9 @@
   double ratio = 0.5;
   /// Repeated sends beyond that.
   double allowance = 2;
+  /// Borrowed sends are made within this time or not at all, so that they fall
+  /// into the window in which the peer counts them.
+  base::Millis borrowed_life{1000};
   /// Part of the limit that kImprove may use; the rest is kept for rescues.
   double improve_share = 0.6;
 };
@@ -42,12 +45,23 @@
   /// Counts a repeated send; false when it would go over the limit.
   bool TakeRetry(const std::string& service, RetryUse use, base::Millis now);
 
+  /// Counts up to `wanted` repeated sends that a peer makes, as far as half of
+  /// what is left allows. Returns how many.
+  int Lend(const std::string& service, int wanted, base::Millis now);
+
+  /// Takes over repeated sends that a peer has counted.
+  void OnBorrowed(const std::string& service, int n, base::Millis now);
+
  private:
   struct Counts {
     std::deque<base::Millis> requests;
     std::deque<base::Millis> retries;
+    /// When sends were borrowed that have not been made yet.
+    std::deque<base::Millis> borrowed;
   };
 
+  double LimitOf(const Counts& counts) const;
+
   void Expire(std::deque<base::Millis>* times, base::Millis now) const;
 
   RetryLimitOptions options_;
--- a/src/forward/run_copy.h
+++ b/src/forward/run_copy.h
@@ -46,8 +46,8 @@
     state_->run_id = std::move(run_id);
     state_->engine = std::move(engine);
     if (first_holder) {
-      state_->copy = RunCopy{*first_holder,
-                             {first_holder->address, state_->run_id}};
+      state_->copy =
+          RunCopy{*first_holder, {first_holder->address, state_->run_id}};
     }
   }
 
@@ -127,12 +127,17 @@
     } else if (state->is_on_demand) {
       state->copy.reset();
     }
+    LogCopy(*state, holder, answer ? answer->status : 0);
+  }
+
+  static void LogCopy(const State& state,
+                      const Placement& holder,
+                      unsigned status) {
     base::Log(base::LogLevel::kInfo, "copy_on_demand",
-              {{"request", state->run_id},
-               {"target", state->engine.id},
+              {{"request", state.run_id},
+               {"target", state.engine.id},
                {"holder", holder.id},
-               {"status", answer ? answer->status : 0},
-               {"copied", id.has_value()}});
+               {"status", status}});
   }
 
   static net::asio::awaitable<void> Drop(Forwarder* forwarder,
--- a/src/forward/send_ledger.cc
+++ b/src/forward/send_ledger.cc
@@ -12,7 +12,7 @@
 void SendLedger::OnSend(const std::string& target) {
   ++sends_;
   is_sending_ = true;
-  may_have_run_.insert(target);
+  is_first_there_ = may_have_run_.insert(target).second;
 }
 
 void SendLedger::OnEnded(const std::string& target, SendOutcome outcome) {
@@ -20,7 +20,9 @@
   if (outcome == SendOutcome::kNotSent) {
     --sends_;
   }
-  if (outcome == SendOutcome::kNotSent || outcome == SendOutcome::kRefused) {
+  const bool has_not_begun =
+      outcome == SendOutcome::kNotSent || outcome == SendOutcome::kRefused;
+  if (has_not_begun && is_first_there_) {
     may_have_run_.erase(target);
   }
 }
--- a/src/forward/send_ledger.h
+++ b/src/forward/send_ledger.h
@@ -60,6 +60,8 @@
   /// Targets that may have run the request.
   std::set<std::string> may_have_run_;
   bool is_sending_ = false;
+  /// No earlier send to the present target may have run.
+  bool is_first_there_ = false;
 };
 
 /// The HTTP status of an answer that this system makes itself. 503 and 429 say
--- a/src/forward/session.h
+++ b/src/forward/session.h
@@ -23,9 +23,13 @@
 
   net::asio::awaitable<void> Run() {
     const auto self = this->shared_from_this();
-    AfterAnswer after = AfterAnswer::kKeepOpen;
-    while (after == AfterAnswer::kKeepOpen && co_await WaitForRequest()) {
-      after = co_await ServeOne();
+    // One await in the condition: GCC 12 awaits the right side of && in a
+    // loop's condition also when the left side is false.
+    while (co_await WaitForRequest()) {
+      const AfterAnswer after = co_await ServeOne();
+      if (after == AfterAnswer::kClose) {
+        break;
+      }
     }
     co_await Finish();
   }
@@ -81,15 +85,19 @@
     const std::optional<base::Verdict> verdict = VerdictOf(fault);
     if (verdict) {
       forwarder_->metrics->AddRefusal(verdict->reason);
-      base::Log(base::LogLevel::kInfo, "request_unreadable",
-                {{"reason", base::kReasonNames.NameOf(verdict->reason)},
-                 {"detail", verdict->detail}});
+      LogUnreadable(*verdict);
       const std::string text = VerdictAnswer(*verdict, AfterAnswer::kClose);
       co_await channel_->Write(text, base::Clock::Now() + kFinishBound);
     }
     co_return AfterAnswer::kClose;
   }
 
+  static void LogUnreadable(const base::Verdict& verdict) {
+    base::Log(base::LogLevel::kInfo, "request_unreadable",
+              {{"reason", base::kReasonNames.NameOf(verdict.reason)},
+               {"detail", verdict.detail}});
+  }
+
   /// Closes so that the caller can read the last answer: bytes that it still
   /// sends would make the close a reset, which may destroy that answer.
   net::asio::awaitable<void> Finish() {
--- /dev/null
+++ b/src/forward/target_board_test.cc
@@ -0,0 +1,241 @@
+#include "forward/target_board.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include "base/hash.h"
+#include "tests/test_macros.h"
+
+namespace daisypond::forward {
+
+namespace {
+
+using base::Millis;
+
+constexpr Millis kNow{100'000};
+
+catalog::Targets MakeEngines(int n, int n_domains) {
+  catalog::Targets targets;
+  for (int i = 0; i < n; ++i) {
+    catalog::Target target;
+    target.id = fmt::format("e{}", i);
+    target.service = "llm";
+    target.address = fmt::format("10.0.0.{}:80", i + 1);
+    target.failure_domain = fmt::format("d{}", i % n_domains);
+    target.slots = 24;
+    targets.emplace(target.id, target);
+  }
+  return targets;
+}
+
+PlacementRequest EngineRequest(uint64_t key) {
+  PlacementRequest request;
+  request.service = "llm";
+  request.failure_domain = "d0";
+  request.is_engine = true;
+  request.affinity_key = key;
+  return request;
+}
+
+SUITE(TargetBoardTest) {
+  CPPUNIT_TEST_SUITE(TargetBoardTest);
+  CPPUNIT_TEST(TestLeavingAndReplacedTargetsGetNothing);
+  CPPUNIT_TEST(TestSamePromptGoesToTheSameEngineAtAllInstances);
+  CPPUNIT_TEST(TestFailedTargetIsLastChoiceAndStaysOne);
+  CPPUNIT_TEST(TestFailingDomainIsLeftByNewWork);
+  CPPUNIT_TEST(TestCopyStandsInAnotherDomain);
+  CPPUNIT_TEST(TestPeersLossCountsUntilTheTargetIsHeard);
+  CPPUNIT_TEST(TestNewProcessOfATargetStartsAnew);
+  CPPUNIT_TEST(TestManyInstancesSpreadABurst);
+  CPPUNIT_TEST(TestHalfOfTheEnginesGone);
+  CPPUNIT_TEST(TestAnyStateKeepsTheRules);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TestLeavingAndReplacedTargetsGetNothing() {
+    TargetBoard board(1);
+    catalog::Targets targets = MakeEngines(2, 1);
+    targets.at("e0").is_leaving = true;
+    board.Configure(targets);
+    board.OnReplaced("e1");
+    EXPECT(!board.Choose(EngineRequest(1), kNow).has_value());
+    targets.at("e1").address = "10.0.1.1:80";
+    board.Configure(targets);
+    EXPECT_EQ(std::string("e1"), board.Choose(EngineRequest(1), kNow)->id);
+  }
+
+  void TestSamePromptGoesToTheSameEngineAtAllInstances() {
+    for (uint64_t key = 1; key < 50; ++key) {
+      std::string first;
+      for (uint64_t instance = 1; instance < 5; ++instance) {
+        TargetBoard board(instance);
+        board.Configure(MakeEngines(4, 1));
+        const std::string id = board.Choose(EngineRequest(key), kNow)->id;
+        first = first.empty() ? id : first;
+        // Scores that differ by less than the noise may go either way.
+        n_same_ += id == first ? 1 : 0;
+        ++n_all_;
+      }
+    }
+    EXPECT(n_same_ * 10 >= n_all_ * 9);
+  }
+
+  void TestFailedTargetIsLastChoiceAndStaysOne() {
+    TargetBoard board(1);
+    board.Configure(MakeEngines(2, 1));
+    board.OnFailure("e0", kNow);
+    EXPECT_EQ(std::string("e1"), board.Choose(EngineRequest(1), kNow)->id);
+    PlacementRequest only = EngineRequest(1);
+    only.excluded = {"e1"};
+    EXPECT_EQ(std::string("e0"), board.Choose(only, kNow)->id);
+  }
+
+  void TestFailingDomainIsLeftByNewWork() {
+    TargetBoard board(1);
+    board.Configure(MakeEngines(8, 2));
+    board.OnFailure("e0", kNow);
+    board.OnFailure("e2", kNow);
+    EXPECT(board.IsDomainFailing("llm", "d0", kNow));
+    EXPECT_EQ(std::string("d1"),
+              board.Choose(EngineRequest(1), kNow)->failure_domain);
+    // The others of the domain answer: two targets failed, not the domain.
+    board.OnHeard("e4", kNow + Millis{10});
+    board.OnHeard("e6", kNow + Millis{10});
+    board.OnHeard("e0", kNow + Millis{10});
+    EXPECT(!board.IsDomainFailing("llm", "d0", kNow + Millis{20}));
+  }
+
+  void TestCopyStandsInAnotherDomain() {
+    TargetBoard board(1);
+    board.Configure(MakeEngines(6, 3));
+    PlacementRequest request = EngineRequest(1);
+    request.excluded = {"e0"};
+    request.avoided_domain = "d0";
+    EXPECT(board.ChooseCopy(request, kNow)->failure_domain != "d0");
+    TargetBoard alone(1);
+    alone.Configure(MakeEngines(3, 1));
+    EXPECT(!alone.ChooseCopy(request, kNow).has_value());
+  }
+
+  void TestPeersLossCountsUntilTheTargetIsHeard() {
+    TargetBoard board(1);
+    board.Configure(MakeEngines(2, 1));
+    board.OnPeerFailure("e0", kNow);
+    EXPECT(board.IsSuspected("e0", kNow));
+    board.OnHeard("e0", kNow + Millis{1});
+    EXPECT(!board.IsSuspected("e0", kNow + Millis{1}));
+  }
+
+  void TestNewProcessOfATargetStartsAnew() {
+    TargetBoard board(1);
+    catalog::Targets targets = MakeEngines(2, 1);
+    board.Configure(targets);
+    board.OnFailure("e0", kNow);
+    targets.at("e0").started_at = 7;
+    board.Configure(targets);
+    EXPECT(board.Find("e0", kNow).has_value());
+  }
+
+  // The load: 8 instances place 64 prompts at once on 24 engines and know
+  // nothing of each other. No engine gets so many that its callers wait for
+  // longer than their aim (four prompts of a second each).
+  void TestManyInstancesSpreadABurst() {
+    std::map<std::string, int> load;
+    std::mt19937_64 random(7);
+    for (uint64_t instance = 0; instance < 8; ++instance) {
+      TargetBoard board(instance + 1);
+      board.Configure(MakeEngines(24, 3));
+      for (int i = 0; i < 8; ++i) {
+        PlacementRequest request = EngineRequest(random());
+        request.failure_domain = fmt::format("d{}", instance % 3);
+        const auto placement = board.Choose(request, kNow);
+        board.OnSend(placement->id);
+        ++load[placement->id];
+      }
+    }
+    int most = 0;
+    for (const auto& it : load) {
+      most = std::max(most, it.second);
+    }
+    EXPECT(most <= 6);
+    EXPECT(load.size() >= 18);
+  }
+
+  // The load: the engines of two of three domains are gone. What is left is
+  // used, evenly.
+  void TestHalfOfTheEnginesGone() {
+    TargetBoard board(3);
+    board.Configure(MakeEngines(24, 3));
+    for (int i = 0; i < 24; ++i) {
+      if (i % 3 != 2) {
+        board.OnFailure(fmt::format("e{}", i), kNow);
+      }
+    }
+    std::map<std::string, int> load;
+    for (int i = 0; i < 40; ++i) {
+      const auto placement =
+          board.Choose(EngineRequest(static_cast<uint64_t>(i)), kNow);
+      EXPECT_EQ(std::string("d2"), placement->failure_domain);
+      board.OnSend(placement->id);
+      ++load[placement->id];
+    }
+    for (const auto& it : load) {
+      EXPECT(it.second <= 7);
+    }
+  }
+
+  void TestAnyStateKeepsTheRules() {
+    EXPECT(rc::check("a choice keeps every rule", [](uint64_t seed) {
+      std::mt19937_64 random(seed);
+      TargetBoard board(seed);
+      catalog::Targets targets =
+          MakeEngines(1 + static_cast<int>(random() % 12), 3);
+      for (auto& it : targets) {
+        it.second.is_leaving = random() % 4 == 0;
+        it.second.service = random() % 5 == 0 ? "other" : "llm";
+      }
+      board.Configure(targets);
+      PlacementRequest request = EngineRequest(random());
+      for (const auto& it : targets) {
+        if (random() % 4 == 0) {
+          request.excluded.insert(it.first);
+        }
+        if (random() % 3 == 0) {
+          board.OnFailure(it.first, kNow);
+        }
+        if (random() % 3 == 0) {
+          board.OnReport(it.first, {5, 2, 24}, kNow);
+        }
+      }
+      const auto chosen = board.Choose(request, kNow);
+      bool is_any = false;
+      for (const auto& it : targets) {
+        is_any =
+            is_any || (it.second.service == "llm" && !it.second.is_leaving &&
+                       !request.excluded.contains(it.first));
+      }
+      RC_ASSERT(chosen.has_value() == is_any);
+      if (chosen) {
+        RC_ASSERT(!targets.at(chosen->id).is_leaving);
+        RC_ASSERT(targets.at(chosen->id).service == "llm");
+        RC_ASSERT(!request.excluded.contains(chosen->id));
+      }
+    }));
+  }
+
+ private:
+  int n_same_ = 0;
+  int n_all_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetBoardTest);
+
+}  // namespace
+
+}  // namespace daisypond::forward
--- a/src/forward/target_call.cc
+++ b/src/forward/target_call.cc
@@ -18,9 +18,9 @@
   std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method,
                                  call.path, call.address);
   if (!call.body.empty()) {
-    text += fmt::format(
-        "Content-Type: application/json\r\nContent-Length: {}\r\n",
-        call.body.size());
+    text +=
+        fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n",
+                    call.body.size());
   }
   return text + "\r\n" + call.body;
 }
@@ -52,10 +52,8 @@
 
 }  // namespace
 
-net::asio::awaitable<std::optional<TargetAnswer>> CallTarget(
-    Forwarder* forwarder,
-    TargetCall call,
-    base::Millis limit) {
+net::asio::awaitable<std::optional<TargetAnswer>>
+CallTarget(Forwarder* forwarder, TargetCall call, base::Millis limit) {
   std::shared_ptr<TargetConnection> connection =
       forwarder->pool.Take(call.target, kAnyIdle, base::Clock::Now());
   if (connection == nullptr) {
--- a/src/forward/target_call.h
+++ b/src/forward/target_call.h
@@ -25,10 +25,8 @@
 };
 
 /// Makes a call and reads the whole answer by `limit`. Empty when none came.
-net::asio::awaitable<std::optional<TargetAnswer>> CallTarget(
-    Forwarder* forwarder,
-    TargetCall call,
-    base::Millis limit);
+net::asio::awaitable<std::optional<TargetAnswer>>
+CallTarget(Forwarder* forwarder, TargetCall call, base::Millis limit);
 
 }  // namespace daisypond::forward
 
--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -1,6 +1,7 @@
 #ifndef DAISYPOND_GATEWAY_CATALOG_SOURCE_H_
 #define DAISYPOND_GATEWAY_CATALOG_SOURCE_H_
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "catalog/catalog.h"
@@ -26,6 +28,13 @@
   base::Millis age;
 };
 
+/// When a peer's targets are taken over.
+enum class PeerTrust : uint8_t {
+  kIfNewer,
+  /// The peer reads the table service for this instance.
+  kFollowed,
+};
+
 /// Turns rows of the table service into the catalog in force. Runs on the
 /// control thread; `Format` decodes rows and names tables.
 template <typename Format>
@@ -99,49 +108,54 @@
     }
   }
 
-  void OnStoreAway() {
-    if (!follower_.IsAway()) {
-      away_since_ = base::Clock::Now();
-    }
-    follower_.OnAway();
+  void OnStoreAway() { follower_.OnAway(); }
+
+  void OnTargetsAnswered() {
+    targets_known_at_ = base::Clock::Now();
+    follower_.OnAnswered(targets_known_at_);
   }
-  void OnStoreAnswered() {
-    has_listed_ = true;
-    follower_.OnAnswered(base::Clock::Now());
+
+  void OnConfigurationAnswered() {
+    configuration_known_at_ = base::Clock::Now();
   }
 
-  /// How long ago the table service was last known to answer: zero while it
-  /// does. Empty when it never did and no peer has told of it.
+  /// How old the catalog can be. Empty while it is not whole.
   std::optional<base::Millis> Age() const {
-    if (!has_listed_) {
+    if (!catalog_.IsComplete()) {
       return std::nullopt;
     }
-    return follower_.IsAway() ? base::Clock::Now() - away_since_
-                              : base::Millis{0};
+    return base::Clock::Now() -
+           std::min(targets_known_at_, configuration_known_at_);
   }
 
   /// True while a peer may know more than this instance.
   bool NeedsPeers() const {
-    return !catalog_.IsComplete() || !has_listed_ || follower_.IsAway();
+    return !catalog_.IsComplete() || follower_.IsAway();
   }
 
-  /// Takes over what a peer holds if it is newer.
-  void OnPeerCatalog(const PeerCatalog& peer) {
+  /// A peer whose catalog this instance holds has nothing newer.
+  void OnPeerUnchanged(base::Millis age) { NoteAge(age); }
+
+  /// Takes over what a peer holds if it is newer, or, from a peer that is
+  /// followed, in any case.
+  void OnPeerCatalog(const PeerCatalog& peer, PeerTrust trust) {
     if (!peer.configuration.empty()) {
       OnConfigurationText(peer.configuration);
     }
     const std::optional<base::Millis> age = Age();
-    if (!peer.targets || !NeedsPeers() || (age && *age <= peer.age)) {
+    const bool is_newer = !age || peer.age < *age;
+    if (!peer.targets || (!is_newer && trust == PeerTrust::kIfNewer)) {
       return;
     }
-    follower_.OnAway();
-    has_listed_ = true;
-    away_since_ = base::Clock::Now() - peer.age;
+    NoteAge(peer.age);
     if (follower_.OnPeerList(*peer.targets) || catalog_.targets == nullptr) {
       PublishTargets("peer");
     }
   }
 
+  /// Names the targets in force; another value, others.
+  uint64_t TargetsRevision() const { return targets_revision_; }
+
   void Advance() {
     if (follower_.Advance(base::Clock::Now())) {
       PublishTargets("missing_after_outage");
@@ -156,6 +170,12 @@
   const catalog::Catalog& Current() const { return catalog_; }
 
  private:
+  void NoteAge(base::Millis age) {
+    const base::Millis known_at = base::Clock::Now() - age;
+    targets_known_at_ = std::max(targets_known_at_, known_at);
+    configuration_known_at_ = std::max(configuration_known_at_, known_at);
+  }
+
   std::optional<catalog::Target> Decode(const catalog::Row& row) {
     if (row.is_removed) {
       return std::nullopt;
@@ -172,6 +192,7 @@
 
   void PublishTargets(const char* cause) {
     LogTargetChanges(cause);
+    ++targets_revision_;
     catalog_.targets =
         std::make_shared<const catalog::Targets>(follower_.InForce());
     on_catalog_(catalog_);
@@ -208,9 +229,9 @@
   catalog::TargetFollower follower_;
   catalog::Catalog catalog_;
   std::string configuration_text_;
-  /// The targets were listed by the table service or taken from a peer.
-  bool has_listed_ = false;
-  base::Millis away_since_;
+  base::Millis targets_known_at_;
+  base::Millis configuration_known_at_;
+  uint64_t targets_revision_ = base::RandomNumber();
 };
 
 }  // namespace daisypond::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -51,6 +51,14 @@
                         {.table = Format::kTargetTable},
                         TargetEvents()),
         acceptor_(traffic_) {
+    forwarder_.borrow_retries = [this](const std::string& service,
+                                       std::function<void(int)> done) {
+      asio::post(control_, [this, service, done = std::move(done)] {
+        peers_->BorrowRetries(service, [this, done](int n) {
+          asio::post(traffic_, [done, n] { done(n); });
+        });
+      });
+    };
     forwarder_.on_target_lost = [this](const std::string& target) {
       asio::post(control_, [this, target] { peers_->TellLost(target); });
     };
@@ -76,7 +84,10 @@
     Every(kAdvancePeriod, [this] { source_.Advance(); });
     Every(peer::Group::kProbePeriod, [this] { peers_->Probe(); });
     Every(peer::Group::kSeedPeriod, [this] { peers_->Contact(); });
-    Every(PeerLink::kFetchPeriod, [this] { peers_->Fetch(); });
+    Every(PeerLink::kFetchPeriod, [this] {
+      peers_->Fetch();
+      peers_->AnswerWaiting();
+    });
     traffic_thread_ = std::thread([this] { traffic_.run(); });
     control_thread_ = std::thread([this] { control_.run(); });
     return true;
@@ -98,6 +109,7 @@
   }
 
   void Halt() {
+    peers_->StopServing();
     control_.stop();
     traffic_.stop();
     control_thread_.join();
@@ -117,6 +129,13 @@
   static constexpr base::Millis kDrainStep{50};
   static constexpr base::Millis kTidyPeriod{500};
   static constexpr base::Millis kAdvancePeriod{200};
+  // A reader whose call is silent for longer is no source for others.
+  static constexpr base::Millis kReaderWait{1000};
+  static constexpr base::Millis kOwnWait{5000};
+  static constexpr size_t kSmallGroup = 16;
+  // What others told is older than this: the instance reads by itself. Leaves
+  // half of the time within which a leaving target gets no more work.
+  static constexpr base::Millis kOldestFromPeers{2200};
 
   catalog::TableEvents ConfigurationEvents() {
     catalog::TableEvents events;
@@ -124,10 +143,14 @@
       source_.OnConfigurationRows(rows);
     };
     events.on_changed = events.on_listed;
-    events.on_answered = [this] { metrics_.Add(base::Counter::kStoreCalls); };
+    events.on_answered = [this] {
+      metrics_.Add(base::Counter::kStoreCalls);
+      source_.OnConfigurationAnswered();
+    };
     events.on_away = [this](catalog::ReadFault) {
       metrics_.Add(base::Counter::kStoreCalls);
     };
+    events.next_wait = [this] { return NextWait(); };
     return events;
   }
 
@@ -141,17 +164,36 @@
     };
     events.on_answered = [this] {
       metrics_.Add(base::Counter::kStoreCalls);
-      source_.OnStoreAnswered();
+      source_.OnTargetsAnswered();
     };
     events.on_away = [this](catalog::ReadFault) {
       metrics_.Add(base::Counter::kStoreCalls);
       source_.OnStoreAway();
     };
+    events.next_wait = [this] { return NextWait(); };
     return events;
   }
 
+  /// Whether this instance reads the table service by itself now, and how
+  /// long a call may wait. Shorter waits notice a silent connection sooner.
+  std::optional<base::Millis> NextWait() const {
+    const std::optional<base::Millis> age = source_.Age();
+    if (!age || *age > kOldestFromPeers) {
+      return kOwnWait;
+    }
+    if (!peers_->IsReader()) {
+      return std::nullopt;
+    }
+    return members_ > kSmallGroup ? kReaderWait : kOwnWait;
+  }
+
+  bool NeedsPeers() const {
+    return source_.NeedsPeers() || !peers_->IsReader();
+  }
+
   /// Hands a catalog from the control thread to the traffic thread.
   void Publish(const catalog::Catalog& next) {
+    peers_->AnswerWaiting();
     asio::post(traffic_, [this, next] {
       forwarder_.Apply(next);
       is_ready_ = forwarder_.IsReady();
@@ -174,8 +216,7 @@
     while (true) {
       auto [ec, socket] = co_await acceptor_.async_accept(net::kAsTuple);
       if (ec) {
-        base::Log(base::LogLevel::kWarning, "accept_failed",
-                  {{"error", ec.message()}});
+        LogAcceptFailed(ec);
         asio::steady_timer timer(traffic_, kDrainStep.ToChrono());
         co_await timer.async_wait(net::kAsTuple);
         continue;
@@ -184,6 +225,11 @@
     }
   }
 
+  static void LogAcceptFailed(const net::ErrorCode& ec) {
+    base::Log(base::LogLevel::kWarning, "accept_failed",
+              {{"error", ec.message()}});
+  }
+
   asio::awaitable<void> Serve(net::Tcp::socket socket) {
     const uint64_t id = ++last_session_;
     const auto session =
@@ -231,9 +277,22 @@
     };
     hooks.version = [this] { return source_.Version(); };
     hooks.catalog = [this](uint64_t known) { return CatalogFor(known); };
-    hooks.needs_peers = [this] { return source_.NeedsPeers(); };
+    hooks.needs_peers = [this] { return NeedsPeers(); };
+    hooks.targets_revision = [this] { return source_.TargetsRevision(); };
+    hooks.on_unchanged = [this](base::Millis age) {
+      source_.OnPeerUnchanged(age);
+    };
+    hooks.lend_retries = [this](const std::string& service, int wanted,
+                                std::function<void(int)> done) {
+      asio::post(traffic_, [this, service, wanted, done = std::move(done)] {
+        done(forwarder_.retries.Lend(service, wanted, base::Clock::Now()));
+      });
+    };
     hooks.on_catalog = [this](const PeerCatalog& it) {
-      source_.OnPeerCatalog(it);
+      const bool is_followed =
+          !peers_->IsReader() && it.age <= PeerLink::kFreshAge;
+      source_.OnPeerCatalog(
+          it, is_followed ? PeerTrust::kFollowed : PeerTrust::kIfNewer);
     };
     hooks.on_target_lost = [this](const std::string& target) {
       asio::post(traffic_, [this, target] {
@@ -250,7 +309,7 @@
       catalog.configuration = source_.ConfigurationText();
     }
     const std::optional<base::Millis> age = source_.Age();
-    if (age && source_.Current().targets != nullptr) {
+    if (age) {
       catalog.targets = *source_.Current().targets;
       catalog.age = *age;
     }
--- /dev/null
+++ b/src/gateway/gateway_test.cc
@@ -0,0 +1,165 @@
+#include <string>
+#include <vector>
+
+#include "base/json.h"
+#include "gateway/catalog_source.h"
+#include "gateway/forwarder_options.h"
+#include "gateway/settings.h"
+#include "tests/test_macros.h"
+
+namespace daisypond::gateway {
+
+namespace {
+
+constexpr const char* kSettings = R"(interface: forward
+instance: a-1
+failure_domain: a
+listen: 127.0.0.1:7001
+ready_listen: 127.0.0.1:7002
+metrics_listen: 127.0.0.1:7003
+peer_listen: 127.0.0.1:7004
+seed_peers: ["127.0.0.1:7104"]
+store: 127.0.0.1:7005
+stop_grace_s: 8
+retries:
+  window_s: 10
+  ratio: 0.8
+  slack: 150
+)";
+
+/// Rows whose value is "VERSION" or the target's address.
+struct PlainFormat {
+  static constexpr const char* kConfigurationKey = "config";
+
+  struct Error {
+    std::string ToString() const { return "unreadable"; }
+  };
+
+  static tl::expected<catalog::Configuration, Error> DecodeConfiguration(
+      const std::string& text) {
+    catalog::Configuration configuration;
+    configuration.version = static_cast<uint64_t>(std::atoi(text.c_str()));
+    if (configuration.version == 0) {
+      return tl::unexpected(Error{});
+    }
+    return configuration;
+  }
+
+  static tl::expected<catalog::Target, Error> DecodeTarget(
+      const std::string& id,
+      const std::string& text) {
+    if (text.empty()) {
+      return tl::unexpected(Error{});
+    }
+    catalog::Target target;
+    target.id = id;
+    target.address = text;
+    return target;
+  }
+};
+
+SUITE(GatewayTest) {
+  CPPUNIT_TEST_SUITE(GatewayTest);
+  CPPUNIT_TEST(TestSettings);
+  CPPUNIT_TEST(TestBadSettingsNameFileLineAndKey);
+  CPPUNIT_TEST(TestSlackIsSharedByAllInstances);
+  CPPUNIT_TEST(TestVersionOnlyGrows);
+  CPPUNIT_TEST(TestUnreadableConfigurationKeepsTheOneInForce);
+  CPPUNIT_TEST(TestUnreadableTargetNamesNone);
+  CPPUNIT_TEST(TestPeerIsFollowedWhileItKnowsMore);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    published_ = 0;
+    source_.emplace(&metrics_,
+                    [this](const catalog::Catalog&) { ++published_; });
+  }
+
+  void TestSettings() {
+    const auto it = ParseSettings("f.yaml", kSettings);
+    EXPECT(it.has_value());
+    EXPECT_EQ(std::string("127.0.0.1:7003"), it->metrics_listen);
+    EXPECT_EQ(int64_t{8000}, it->stop_grace.count);
+    EXPECT_EQ(0.8, it->retries.ratio);
+    EXPECT_EQ(size_t{1}, it->seed_peers.size());
+  }
+
+  void TestBadSettingsNameFileLineAndKey() {
+    const auto error = [](const std::string& from, const std::string& to) {
+      std::string text = kSettings;
+      text.replace(text.find(from), from.size(), to);
+      const auto it = ParseSettings("f.yaml", text);
+      return it ? std::string("none") : it.error().ToString();
+    };
+    EXPECT(error("store: 127.0.0.1:7005", "store: here")
+               .starts_with("f.yaml:9: store"));
+    EXPECT(error("stop_grace_s: 8", "stop_grace: 8")
+               .starts_with("f.yaml:10: stop_grace"));
+    EXPECT(error("  ratio: 0.8", "  ratio: x")
+               .starts_with("f.yaml:13: retries.ratio"));
+    EXPECT(error("instance: a-1\n", "").find("instance") != std::string::npos);
+  }
+
+  void TestSlackIsSharedByAllInstances() {
+    Settings settings = *ParseSettings("f", kSettings);
+    for (const size_t n : {1, 8, 83, 300}) {
+      EXPECT(AllowanceOf(settings, n) * static_cast<double>(n) <=
+             settings.retries.slack);
+    }
+    EXPECT(ForwarderOptionsOf(settings).retries.ratio <=
+           settings.retries.ratio);
+  }
+
+  void TestVersionOnlyGrows() {
+    source_->OnConfigurationText("7");
+    source_->OnConfigurationText("5");
+    source_->OnConfigurationText("7");
+    EXPECT_EQ(uint64_t{7}, source_->Version());
+    EXPECT_EQ(1, published_);
+  }
+
+  void TestUnreadableConfigurationKeepsTheOneInForce() {
+    source_->OnConfigurationText("7");
+    source_->OnConfigurationText("?");
+    EXPECT_EQ(uint64_t{7}, source_->Version());
+    EXPECT_EQ(int64_t{1},
+              metrics_.Value(base::Counter::kConfigurationsUnreadable));
+  }
+
+  void TestUnreadableTargetNamesNone() {
+    source_->OnTargetsListed({{"x", "10.0.0.1:1", false}, {"y", "", false}});
+    EXPECT_EQ(size_t{1}, source_->Current().targets->size());
+    EXPECT_EQ(int64_t{1}, metrics_.Value(base::Counter::kTargetsUnreadable));
+  }
+
+  void TestPeerIsFollowedWhileItKnowsMore() {
+    source_->OnConfigurationText("7");
+    source_->OnTargetsListed({{"x", "10.0.0.1:1", false}});
+    source_->OnTargetsAnswered();
+    source_->OnConfigurationAnswered();
+    PeerCatalog peer;
+    peer.configuration = "8";
+    peer.targets.emplace();
+    peer.age = {60'000};
+    source_->OnPeerCatalog(peer, PeerTrust::kIfNewer);
+    // The configuration is newer, the targets are not.
+    EXPECT_EQ(uint64_t{8}, source_->Version());
+    EXPECT_EQ(size_t{1}, source_->Current().targets->size());
+    // A peer that is followed may have read a second before it answers.
+    peer.age = {1000};
+    source_->OnPeerCatalog(peer, PeerTrust::kFollowed);
+    EXPECT_EQ(size_t{0}, source_->Current().targets->size());
+  }
+
+ private:
+  base::Metrics metrics_;
+  std::optional<CatalogSource<PlainFormat>> source_;
+  int published_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
+
+}  // namespace
+
+}  // namespace daisypond::gateway
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -1,5 +1,6 @@
 #include "gateway/peer_link.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -10,10 +11,21 @@
 
 namespace {
 
-constexpr base::Millis kFetchTimeout{400};
+// How long a peer that has nothing new holds its answer back, and how long an
+// answer is waited for: a few round trips more.
+constexpr base::Millis kHoldTime{700};
+constexpr base::Millis kFetchTimeout{1000};
 // A lost target is told to this many peers; each lost target is seen by
 // several instances, so that the news reaches all with few messages.
 constexpr size_t kTold = 12;
+// A group of this size reads the table service instance by instance; in a
+// larger one a few readers in each failure domain do.
+constexpr size_t kLargestDirectGroup = 16;
+constexpr size_t kReaders = 2;
+// Peers asked at once for retries, and how many each is asked for.
+constexpr size_t kLenders = 4;
+constexpr int kWantedRetries = 3;
+constexpr base::Millis kLendTimeout{100};
 
 membership::PeerState SelfOf(const Settings& settings) {
   membership::PeerState self;
@@ -103,12 +115,40 @@
   parts.on_death = [this](const peer::ReportDeathRequest& request) {
     hooks_.on_target_lost(request.target());
   };
-  parts.on_fetch_catalog = [this](const peer::FetchCatalogRequest& request) {
-    return Answer(request);
+  parts.on_lend_retries = [this](const peer::LendRetriesRequest& request,
+                                 std::function<void(int)> done) {
+    hooks_.lend_retries(request.service(), request.wanted(), std::move(done));
   };
+  parts.on_fetch_catalog =
+      [this](const peer::FetchCatalogRequest& request,
+             std::function<void(peer::FetchCatalogReply)> done) {
+        waiting_.push_back(
+            {request, std::move(done), base::Clock::Now() + kHoldTime});
+        AnswerWaiting();
+      };
   return parts;
 }
 
+bool PeerLink::HasNews(const peer::FetchCatalogRequest& request) const {
+  return hooks_.version() > request.known_version() ||
+         hooks_.targets_revision() != request.known_targets();
+}
+
+void PeerLink::AnswerWaiting() {
+  const base::Millis now = base::Clock::Now();
+  std::vector<Waiting> due;
+  std::erase_if(waiting_, [&](Waiting& it) {
+    if (!HasNews(it.request) && now < it.until) {
+      return false;
+    }
+    due.push_back(std::move(it));
+    return true;
+  });
+  for (const Waiting& it : due) {
+    it.done(Answer(it.request));
+  }
+}
+
 peer::FetchCatalogReply PeerLink::Answer(
     const peer::FetchCatalogRequest& request) {
   const PeerCatalog catalog = hooks_.catalog(request.known_version());
@@ -117,7 +157,8 @@
   reply.set_configuration(catalog.configuration);
   reply.set_age_ms(catalog.age.count);
   reply.set_has_targets(catalog.targets.has_value());
-  if (catalog.targets) {
+  reply.set_targets_revision(hooks_.targets_revision());
+  if (catalog.targets && request.known_targets() != reply.targets_revision()) {
     for (const auto& it : *catalog.targets) {
       *reply.add_targets() = ToMessage(it.second);
     }
@@ -125,16 +166,47 @@
   return reply;
 }
 
+std::vector<std::string> PeerLink::RankedDomain() const {
+  const membership::PeerState& self = group_.Table().Self();
+  std::vector<std::pair<uint64_t, std::string>> ranked;
+  ranked.emplace_back(base::Hash(self.instance), self.address);
+  for (const membership::PeerState& it : group_.Table().Reachable()) {
+    if (it.failure_domain == self.failure_domain &&
+        it.status == membership::PeerStatus::kAlive) {
+      ranked.emplace_back(base::Hash(it.instance), it.address);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<std::string> addresses;
+  for (const auto& it : ranked) {
+    addresses.push_back(it.second);
+  }
+  return addresses;
+}
+
+bool PeerLink::IsReader() const {
+  if (group_.Table().Reachable().size() + 1 <= kLargestDirectGroup) {
+    return true;
+  }
+  const std::vector<std::string> ranked = RankedDomain();
+  const auto end =
+      ranked.begin() + static_cast<long>(std::min(kReaders, ranked.size()));
+  return std::find(ranked.begin(), end, group_.Table().Self().address) != end;
+}
+
 std::optional<std::string> PeerLink::ChoosePeer() {
+  if (!source_.empty()) {
+    return source_;
+  }
+  std::vector<std::string> ranked = RankedDomain();
+  std::erase(ranked, group_.Table().Self().address);
+  if (failed_fetches_ < std::min(kReaders, ranked.size())) {
+    return ranked[failed_fetches_];
+  }
   const auto peers = group_.Table().Reachable();
   if (peers.empty()) {
     return std::nullopt;
   }
-  for (const membership::PeerState& it : peers) {
-    if (it.address == source_) {
-      return source_;
-    }
-  }
   return peers[base::RandomNumber() % peers.size()].address;
 }
 
@@ -148,22 +220,51 @@
     return;
   }
   is_fetching_ = true;
+  peer::FetchCatalogRequest request;
+  request.set_known_version(hooks_.version());
+  request.set_known_targets(known_targets_);
   client_.FetchCatalog(
-      *address, hooks_.version(), kFetchTimeout,
+      *address, request, kFetchTimeout,
       [this, address = *address](std::optional<peer::FetchCatalogReply> reply) {
         hooks_.post([this, address, reply = std::move(reply)] {
           is_fetching_ = false;
-          // A peer whose own news are old is not asked twice in a row.
-          source_ = reply && reply->age_ms() == 0 && reply->has_targets()
-                        ? address
-                        : "";
-          if (reply) {
-            hooks_.on_catalog(FromMessage(*reply));
-          }
+          OnFetched(address, reply);
         });
       });
 }
 
+void PeerLink::OnFetched(const std::string& address,
+                         const std::optional<peer::FetchCatalogReply>& reply) {
+  const bool is_fresh =
+      reply && reply->has_targets() && reply->age_ms() <= kFreshAge.count;
+  source_ = is_fresh ? address : "";
+  failed_fetches_ = is_fresh ? 0 : failed_fetches_ + 1;
+  if (!reply) {
+    return;
+  }
+  PeerCatalog catalog = FromMessage(*reply);
+  if (reply->has_targets() && reply->targets_revision() == known_targets_) {
+    catalog.targets.reset();
+    hooks_.on_unchanged(catalog.age);
+  } else if (reply->has_targets()) {
+    known_targets_ = reply->targets_revision();
+  }
+  hooks_.on_catalog(catalog);
+}
+
+void PeerLink::BorrowRetries(const std::string& service,
+                             const std::function<void(int)>& done) {
+  auto peers = group_.Table().Reachable();
+  peer::LendRetriesRequest request;
+  request.set_service(service);
+  request.set_wanted(kWantedRetries);
+  for (size_t i = 0; i < kLenders && !peers.empty(); ++i) {
+    const size_t n = base::RandomNumber() % peers.size();
+    client_.LendRetries(peers[n].address, request, kLendTimeout, done);
+    peers.erase(peers.begin() + static_cast<long>(n));
+  }
+}
+
 void PeerLink::TellLost(const std::string& target) {
   auto peers = group_.Table().Reachable();
   peer::ReportDeathRequest request;
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -24,20 +24,34 @@
   std::function<uint64_t()> version;
   /// What this instance holds; the configuration only if newer than `known`.
   std::function<PeerCatalog(uint64_t known)> catalog;
+  /// Names the targets that this instance holds; another value, others.
+  std::function<uint64_t()> targets_revision;
   std::function<bool()> needs_peers;
+  /// Counts repeated sends for a peer; on any thread.
+  std::function<void(const std::string& service,
+                     int wanted,
+                     std::function<void(int)> done)>
+      lend_retries;
   std::function<void(const PeerCatalog&)> on_catalog;
   /// A peer has lost a target.
   std::function<void(const std::string& target)> on_target_lost;
   /// Instances in the group, this one included.
   std::function<void(size_t)> on_members;
+  /// A peer that reads the table service had nothing new, or did not answer.
+  std::function<void(base::Millis age)> on_unchanged;
 };
 
 /// Keeps touch with the other instances: who there is, which targets they
 /// have lost, and their catalog while the table service is away.
 class PeerLink {
  public:
-  /// While a peer may know more, one is asked this often.
-  static constexpr base::Millis kFetchPeriod{400};
+  /// While a peer may know more, one is asked this often. A peer that has
+  /// nothing new holds its answer back for a while.
+  static constexpr base::Millis kFetchPeriod{100};
+
+  /// What a peer has heard of the table service within this time is as good
+  /// as this instance's own reading: readers wait for a second at most.
+  static constexpr base::Millis kFreshAge{1700};
 
   PeerLink(const Settings& settings,
            base::Metrics* metrics,
@@ -52,13 +66,40 @@
   void Fetch();
   void Leave() { group_.Leave(); }
 
+  /// Answers peers that wait for something new. To be called when the catalog
+  /// has changed, and every kFetchPeriod.
+  void AnswerWaiting();
+
+  /// Asks some peers to count repeated sends; `done` runs once for each.
+  void BorrowRetries(const std::string& service,
+                     const std::function<void(int)>& done);
+
+  /// True for the few instances of a failure domain that read the table
+  /// service for all others there.
+  bool IsReader() const;
+
+  /// Takes no more calls of peers. Not on the control thread, which must still
+  /// run.
+  void StopServing() { server_.Shutdown(); }
+
   /// Tells peers of a lost target. On the control thread.
   void TellLost(const std::string& target);
 
  private:
   peer::GroupHooks GroupHooksOf();
   peer::PeerServerParts PartsOf();
+  /// A peer that waits for something new.
+  struct Waiting {
+    peer::FetchCatalogRequest request;
+    std::function<void(peer::FetchCatalogReply)> done;
+    base::Millis until;
+  };
+
+  bool HasNews(const peer::FetchCatalogRequest& request) const;
   peer::FetchCatalogReply Answer(const peer::FetchCatalogRequest& request);
+  void OnFetched(const std::string& address,
+                 const std::optional<peer::FetchCatalogReply>& reply);
+  std::vector<std::string> RankedDomain() const;
   std::optional<std::string> ChoosePeer();
 
   PeerLinkHooks hooks_;
@@ -66,9 +107,12 @@
   peer::PeerClient client_;
   peer::Group group_;
   peer::PeerServer server_;
+  std::vector<Waiting> waiting_;
   bool is_fetching_ = false;
   /// The peer that answered the last fetch; empty: any.
   std::string source_;
+  uint64_t known_targets_ = 0;
+  size_t failed_fetches_ = 0;
 };
 
 }  // namespace daisypond::gateway
--- a/src/peer/peer_client.cc
+++ b/src/peer/peer_client.cc
@@ -256,23 +256,39 @@
 }
 
 void PeerClient::FetchCatalog(const std::string& address,
-                              uint64_t known_version,
+                              const FetchCatalogRequest& request,
                               base::Millis timeout,
                               OnCatalog done) {
-  auto request = std::make_shared<FetchCatalogRequest>();
-  request->set_known_version(known_version);
+  auto shared = std::make_shared<FetchCatalogRequest>(request);
   Start<FetchCatalogRequest, FetchCatalogReply>(
-      address, *request, timeout,
-      [request](auto* stub, auto* context, const auto&, auto* reply,
-                auto on_done) {
-        stub->FetchCatalog(context, request.get(), reply,
-                           [request, on_done](const grpc::Status& status) {
-                             on_done(status);
-                           });
+      address, *shared, timeout,
+      [shared](auto* stub, auto* context, const auto&, auto* reply,
+               auto on_done) {
+        stub->FetchCatalog(
+            context, shared.get(), reply,
+            [shared, on_done](const grpc::Status& status) { on_done(status); });
       },
       std::move(done));
 }
 
+void PeerClient::LendRetries(const std::string& address,
+                             const LendRetriesRequest& request,
+                             base::Millis timeout,
+                             std::function<void(int)> done) {
+  auto shared = std::make_shared<LendRetriesRequest>(request);
+  Start<LendRetriesRequest, LendRetriesReply>(
+      address, *shared, timeout,
+      [shared](auto* stub, auto* context, const auto&, auto* reply,
+               auto on_done) {
+        stub->LendRetries(
+            context, shared.get(), reply,
+            [shared, on_done](const grpc::Status& status) { on_done(status); });
+      },
+      [done = std::move(done)](const std::optional<LendRetriesReply>& reply) {
+        done(reply ? reply->granted() : 0);
+      });
+}
+
 void PeerClient::ReportDeath(const std::string& address,
                              const ReportDeathRequest& request) {
   auto shared = std::make_shared<ReportDeathRequest>(request);
--- a/src/peer/peer_client.h
+++ b/src/peer/peer_client.h
@@ -66,10 +66,16 @@
                           OnConfiguration done);
 
   void FetchCatalog(const std::string& address,
-                    uint64_t known_version,
+                    const FetchCatalogRequest& request,
                     base::Millis timeout,
                     OnCatalog done);
 
+  /// `done` gets the number of repeated sends that the peer took over.
+  void LendRetries(const std::string& address,
+                   const LendRetriesRequest& request,
+                   base::Millis timeout,
+                   std::function<void(int)> done);
+
   /// Sends without waiting for an answer.
   void ReportDeath(const std::string& address,
                    const ReportDeathRequest& request);
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -90,7 +90,24 @@
     }
     auto* reactor = context->DefaultReactor();
     parts_.post([this, request, reply, reactor] {
-      *reply = parts_.on_fetch_catalog(*request);
+      parts_.on_fetch_catalog(*request,
+                              [reply, reactor](FetchCatalogReply answer) {
+                                *reply = std::move(answer);
+                                reactor->Finish(grpc::Status::OK);
+                              });
+    });
+    return reactor;
+  }
+
+  grpc::ServerUnaryReactor* LendRetries(grpc::CallbackServerContext* context,
+                                        const LendRetriesRequest* request,
+                                        LendRetriesReply* reply) override {
+    if (!parts_.on_lend_retries) {
+      return NotServed(context);
+    }
+    auto* reactor = context->DefaultReactor();
+    parts_.on_lend_retries(*request, [reply, reactor](int n) {
+      reply->set_granted(n);
       reactor->Finish(grpc::Status::OK);
     });
     return reactor;
@@ -132,6 +149,10 @@
 }
 
 PeerServer::~PeerServer() {
+  Shutdown();
+}
+
+void PeerServer::Shutdown() {
   if (server_) {
     server_->Shutdown(std::chrono::system_clock::now() + kShutdownBound);
   }
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -22,8 +22,14 @@
 using DeathHandler = std::function<void(const ReportDeathRequest& request)>;
 
 /// Tells what this instance holds of the catalog; on the control thread.
+/// `done` may run later, when there is something new.
 using FetchCatalogHandler =
-    std::function<FetchCatalogReply(const FetchCatalogRequest& request)>;
+    std::function<void(const FetchCatalogRequest& request,
+                       std::function<void(FetchCatalogReply)> done)>;
+
+/// Counts repeated sends for a peer; `done` gets how many and may run later.
+using LendRetriesHandler = std::function<void(const LendRetriesRequest& request,
+                                              std::function<void(int)> done)>;
 
 /// Calls that have no part are answered as not implemented.
 struct PeerServerParts {
@@ -34,6 +40,7 @@
   ExchangeHandler on_exchange;
   DeathHandler on_death;
   FetchCatalogHandler on_fetch_catalog;
+  LendRetriesHandler on_lend_retries;
 };
 
 /// Serves the Peers protocol. Copies are stored on gRPC's threads, membership
@@ -47,6 +54,10 @@
   PeerServer(const PeerServer&) = delete;
   PeerServer& operator=(const PeerServer&) = delete;
 
+  /// Takes no more calls and waits for the open ones, for a bounded time. The
+  /// control thread must still run, as it answers them.
+  void Shutdown();
+
   /// False when the address could not be bound.
   bool IsRunning() const { return server_ != nullptr; }
 
--- a/tests/fake_table.h
+++ b/tests/fake_table.h
@@ -41,8 +41,7 @@
     }
     const auto result = Apply(writes);
     return Happens(faults_.answer_lost)
-               ? store::TransactionResult{store::StoreOutcome::kUnknown,
-                                             {}}
+               ? store::TransactionResult{store::StoreOutcome::kUnknown, {}}
                : result;
   }
 
@@ -64,7 +63,7 @@
   }
 
   store::StoreOutcome PutObject(const std::string& name,
-                                   const std::string& content) {
+                                const std::string& content) {
     const std::lock_guard lock(mutex_);
     if (Happens(faults_.not_reached)) {
       return store::StoreOutcome::kNotReached;
--- /dev/null
+++ b/tests/plain_dialect.h
@@ -0,0 +1,94 @@
+#ifndef DAISYPOND_TESTS_PLAIN_DIALECT_H_
+#define DAISYPOND_TESTS_PLAIN_DIALECT_H_
+
+#include <cstdlib>
+#include <optional>
+#include <string>
+
+#include "forward/dialect.h"
+
+namespace daisypond::tests {
+
+/// A spelling of headers for tests of the forwarding path.
+struct PlainDialect {
+  using Fields = boost::beast::http::fields;
+
+  static constexpr const char* kReportTarget = "/alive";
+  static constexpr const char* kCopyRunTarget = "/copy";
+
+  static std::string CopyRunBody(const std::string& run_id,
+                                 const std::string& to_address) {
+    return run_id + " " + to_address;
+  }
+  static std::string DropCopyTarget(const std::string& copy_id) {
+    return "/drop/" + copy_id;
+  }
+  static std::optional<std::string> ReadCopyId(const std::string& body) {
+    return body.empty() ? std::nullopt : std::optional(body);
+  }
+
+  static forward::RequestFacts ReadRequest(const Fields& from) {
+    forward::RequestFacts facts;
+    facts.id = Text(from, "Request-Id");
+    if (const auto patience = Number(from, "Patience-Ms")) {
+      facts.patience = base::Millis{*patience};
+    }
+    facts.api_key = Text(from, "Key");
+    facts.last_event = Number(from, "After-Event");
+    facts.prompt = Text(from, "Prompt");
+    return facts;
+  }
+
+  static void RemoveReserved(Fields& into) {
+    for (const char* it : {"Key", "Target-Id", "Workspace", "Goes-On-From"}) {
+      into.erase(it);
+    }
+  }
+
+  static void WriteSend(const forward::SendFacts& send, Fields& into) {
+    into.set("Patience-Ms", std::to_string(send.time_left.count));
+    into.set("Target-Id", send.target_id);
+    if (!send.workspace.empty()) {
+      into.set("Workspace", send.workspace);
+    }
+    if (send.last_event) {
+      into.set("After-Event", std::to_string(*send.last_event));
+    }
+    if (!send.copy_address.empty()) {
+      into.set("Copy-To", send.copy_address);
+    }
+    if (send.memory) {
+      into.set("Goes-On-From", send.memory->address + "/" + send.memory->id);
+    }
+  }
+
+  static forward::AnswerFacts ReadAnswer(unsigned status, const Fields& from) {
+    constexpr unsigned kMisdirected = 421;
+    forward::AnswerFacts facts;
+    facts.id = Text(from, "Request-Id");
+    facts.is_sealed = from.find("Seal") != from.end();
+    facts.is_wrong_target = status == kMisdirected;
+    facts.is_not_run =
+        from.find("Not-Run") != from.end() || facts.is_wrong_target;
+    facts.is_event_stream = Text(from, "Content-Type") == "text/event-stream";
+    return facts;
+  }
+
+ private:
+  static std::string Text(const Fields& from, const char* name) {
+    const auto text = from[name];
+    return {text.data(), text.size()};
+  }
+
+  static std::optional<int64_t> Number(const Fields& from, const char* name) {
+    const std::string text = Text(from, name);
+    return text.empty() ? std::nullopt
+                        : std::optional<int64_t>(std::atoll(text.c_str()));
+  }
+};
+
+static_assert(forward::Dialect<PlainDialect>);
+
+}  // namespace daisypond::tests
+
+#endif  // DAISYPOND_TESTS_PLAIN_DIALECT_H_
