Tell peers changes only; refuse at once what no connection can reach

Change: a target to which no connection opens rests for 400 ms; a stream that has begun waits up to 2.5 s for a target; readers send what changed.

--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -25,8 +25,7 @@
     return nullptr;
   }
   while (!it->second.empty()) {
-    const std::shared_ptr<TargetConnection> connection =
-        std::move(it->second.back());
+    std::shared_ptr<TargetConnection> connection = std::move(it->second.back());
     it->second.pop_back();
     net::ErrorCode ignored;
     connection->Socket().Raw().cancel(ignored);
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -193,6 +193,10 @@
         break;
       }
       const std::optional<Placement> placement = Place();
+      if (!placement && CanWaitForTarget()) {
+        co_await Pause(kTargetWaitPeriod);
+        continue;
+      }
       if (!placement) {
         reason = ledger_->Sends() == 0 && refusals_ == 0
                      ? base::Reason::kNoTarget
@@ -217,6 +221,17 @@
     co_return co_await GiveUp(reason);
   }
 
+  /// A stream that has begun is worth a short wait for a target.
+  bool CanWaitForTarget() const {
+    return HasStreamBegun() &&
+           Clock::Now() < event_written_at_ + kLongestTargetWait;
+  }
+
+  net::asio::awaitable<void> Pause(Millis span) {
+    net::asio::steady_timer timer(forwarder_->executor, span.ToChrono());
+    co_await timer.async_wait(net::kAsTuple);
+  }
+
   Millis TimeLeft() const {
     Millis limit = limit_;
     if (forwarder_->is_stopping) {
@@ -373,7 +388,11 @@
       was_broken_at_.insert(placement.id);
       broken_ = placement;
     }
-    forwarder_->board.OnFailure(placement.id, now);
+    if (result.reason == base::Reason::kTargetUnreachable) {
+      forwarder_->board.OnUnreachable(placement.id, now);
+    } else {
+      forwarder_->board.OnFailure(placement.id, now);
+    }
     if (forwarder_->on_target_lost) {
       forwarder_->on_target_lost(placement.id);
     }
@@ -666,7 +685,7 @@
     const bool has_body =
         code != kNoContent && code != kNotModified && request_.method != "HEAD";
     std::string text =
-        AnswerHead(code, reader->ReasonPhrase(), std::move(fields),
+        AnswerHead(code, reader->ReasonPhrase(), fields,
                    has_body ? Framing::kLength : Framing::kNoBody, body.size(),
                    after) +
         body;
@@ -799,8 +818,8 @@
     if (!is_head_written_) {
       bhttp::fields fields = reader.Fields();
       RemoveConnectionFields(&fields);
-      text = AnswerHead(reader.Status(), reader.ReasonPhrase(),
-                        std::move(fields), Framing::kChunked, 0, after);
+      text = AnswerHead(reader.Status(), reader.ReasonPhrase(), fields,
+                        Framing::kChunked, 0, after);
       is_head_written_ = true;
       forwarder_->metrics->Observe(base::Timer::kFirstEvent,
                                    now - request_.arrived_at);
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -21,6 +21,10 @@
 inline constexpr base::Millis kLongestIdleForRunOnce{1000};
 /// Peers answer within a few round trips.
 inline constexpr base::Millis kBorrowTimeout{60};
+/// A stream without a target that could go on asks again this often, and for
+/// this long after its last event; callers give up after five seconds or more.
+inline constexpr base::Millis kTargetWaitPeriod{100};
+inline constexpr base::Millis kLongestTargetWait{2500};
 /// Refusals by targets before the request is refused.
 inline constexpr int kMaximumRefusals = 4;
 /// Answers to earlier requests that are skipped on one connection.
--- a/src/forward/http_text.cc
+++ b/src/forward/http_text.cc
@@ -62,7 +62,7 @@
 
 std::string AnswerHead(unsigned status,
                        std::string_view reason_phrase,
-                       bhttp::fields fields,
+                       const bhttp::fields& fields,
                        Framing framing,
                        size_t length,
                        AfterAnswer after) {
--- a/src/forward/http_text.h
+++ b/src/forward/http_text.h
@@ -27,7 +27,7 @@
 /// `fields` hold what is passed on.
 std::string AnswerHead(unsigned status,
                        std::string_view reason_phrase,
-                       bhttp::fields fields,
+                       const bhttp::fields& fields,
                        Framing framing,
                        size_t length,
                        AfterAnswer after);
--- a/src/forward/target_board.cc
+++ b/src/forward/target_board.cc
@@ -15,6 +15,9 @@
 // a row. A crashed target needs about a second to come back.
 constexpr Millis kFirstAvoidance{500};
 constexpr int kMaximumDoublings = 3;
+// A cut target costs a connection's time limit for each try; one request in
+// this time finds out whether it is back.
+constexpr Millis kUnreachableRest{400};
 // A target that refused for want of a place; several answers of a plain
 // service take this long.
 constexpr Millis kFullAvoidance{150};
@@ -148,7 +151,7 @@
   double best_score = 0;
   for (const auto& it : states_) {
     const TargetState& state = it.second;
-    if (!MayTake(state, request)) {
+    if (!MayTake(state, request) || now < state.unreachable_until) {
       continue;
     }
     const std::string& domain = state.target.failure_domain;
@@ -178,7 +181,7 @@
 std::optional<Placement> TargetBoard::ChooseCopy(
     const PlacementRequest& request,
     Millis now) {
-  const auto chosen = Choose(request, now);
+  std::optional<Placement> chosen = Choose(request, now);
   if (!chosen || chosen->failure_domain == request.avoided_domain ||
       chosen->score >= kAvoidedWeight) {
     return std::nullopt;
@@ -260,6 +263,13 @@
   AddOutcome(state, true);
 }
 
+void TargetBoard::OnUnreachable(const std::string& id, Millis now) {
+  OnFailure(id, now);
+  if (TargetState* state = StateOf(id)) {
+    state->unreachable_until = now + kUnreachableRest;
+  }
+}
+
 void TargetBoard::OnPeerFailure(const std::string& id, Millis now) {
   if (TargetState* state = StateOf(id)) {
     state->suspected_at = now;
--- a/src/forward/target_board.h
+++ b/src/forward/target_board.h
@@ -27,6 +27,8 @@
   /// New work goes elsewhere before this time if it can.
   base::Millis avoided_until;
   int failures_in_row = 0;
+  /// No connection is tried before this time.
+  base::Millis unreachable_until;
   /// Its address belongs to another process now.
   bool is_replaced = false;
   /// The last time that the target failed or was silent, and that it sent
@@ -109,6 +111,9 @@
   void OnPeerFailure(const std::string& id, base::Millis now);
   /// True when a peer has lost the target and it was not heard of since.
   bool IsSuspected(const std::string& id, base::Millis now) const;
+  /// No connection to the target could be opened. For a while requests are
+  /// refused at once rather than tried there.
+  void OnUnreachable(const std::string& id, base::Millis now);
   /// The target answered that the request failed.
   void OnErrorAnswer(const std::string& id, base::Millis now);
   /// Another process has the target's address: it gets nothing more until its
--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -24,6 +25,10 @@
   /// Empty when the peer holds no newer one.
   std::string configuration;
   std::optional<catalog::Targets> targets;
+  /// `targets` holds only what changed since what was known, and `removed`
+  /// what is gone since.
+  bool is_delta = false;
+  std::vector<std::string> removed;
   /// Since the peer heard of the table service.
   base::Millis age;
 };
@@ -148,7 +153,14 @@
       return;
     }
     NoteAge(peer.age);
-    if (follower_.OnPeerList(*peer.targets) || catalog_.targets == nullptr) {
+    catalog::Targets listed = *peer.targets;
+    if (peer.is_delta) {
+      listed.insert(follower_.InForce().begin(), follower_.InForce().end());
+      for (const std::string& it : peer.removed) {
+        listed.erase(it);
+      }
+    }
+    if (follower_.OnPeerList(listed) || catalog_.targets == nullptr) {
       PublishTargets("peer");
     }
   }
@@ -156,6 +168,28 @@
   /// Names the targets in force; another value, others.
   uint64_t TargetsRevision() const { return targets_revision_; }
 
+  /// Fills in the targets for a peer that knows those of a revision: only the
+  /// changes if that revision was this process's own.
+  void FillTargets(uint64_t known, PeerCatalog* into) const {
+    into->targets.emplace();
+    into->is_delta = known >= first_revision_ && known <= targets_revision_;
+    if (!into->is_delta) {
+      into->targets = *catalog_.targets;
+      return;
+    }
+    for (const auto& it : changed_at_) {
+      if (it.second <= known) {
+        continue;
+      }
+      const auto found = catalog_.targets->find(it.first);
+      if (found != catalog_.targets->end()) {
+        into->targets->insert(*found);
+      } else {
+        into->removed.push_back(it.first);
+      }
+    }
+  }
+
   void Advance() {
     if (follower_.Advance(base::Clock::Now())) {
       PublishTargets("missing_after_outage");
@@ -170,6 +204,34 @@
   const catalog::Catalog& Current() const { return catalog_; }
 
  private:
+  // Removed targets that are remembered for peers.
+  static constexpr size_t kRemembered = 500;
+
+  /// Notes the revision at which each target last changed.
+  void NoteChanges() {
+    static const catalog::Targets kNone;
+    const catalog::Targets& before =
+        catalog_.targets == nullptr ? kNone : *catalog_.targets;
+    const catalog::Targets& after = follower_.InForce();
+    for (const auto& it : after) {
+      const auto found = before.find(it.first);
+      if (found == before.end() || found->second != it.second) {
+        changed_at_[it.first] = targets_revision_;
+      }
+    }
+    for (const auto& it : before) {
+      if (!after.contains(it.first)) {
+        changed_at_[it.first] = targets_revision_;
+      }
+    }
+    if (changed_at_.size() > after.size() + kRemembered) {
+      // Peers that know an earlier revision get the whole list.
+      std::erase_if(changed_at_,
+                    [&](const auto& it) { return !after.contains(it.first); });
+      first_revision_ = targets_revision_;
+    }
+  }
+
   void NoteAge(base::Millis age) {
     const base::Millis known_at = base::Clock::Now() - age;
     targets_known_at_ = std::max(targets_known_at_, known_at);
@@ -193,6 +255,7 @@
   void PublishTargets(const char* cause) {
     LogTargetChanges(cause);
     ++targets_revision_;
+    NoteChanges();
     catalog_.targets =
         std::make_shared<const catalog::Targets>(follower_.InForce());
     on_catalog_(catalog_);
@@ -231,7 +294,11 @@
   std::string configuration_text_;
   base::Millis targets_known_at_;
   base::Millis configuration_known_at_;
-  uint64_t targets_revision_ = base::RandomNumber();
+  // A random start, so that revisions of other processes are not taken for
+  // this one's.
+  uint64_t targets_revision_ = base::RandomNumber() >> 1;
+  uint64_t first_revision_ = targets_revision_;
+  std::map<std::string, uint64_t> changed_at_;
 };
 
 }  // namespace daisypond::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -100,6 +100,8 @@
     const base::Millis began_at = base::Clock::Now();
     asio::post(traffic_, [this, began_at] { BeginStop(began_at); });
     asio::post(control_, [this] { peers_->Leave(); });
+    std::this_thread::sleep_for(kBalancerNotice.ToChrono());
+    peers_->StopServing();
     while (!IsDrained(began_at)) {
       std::this_thread::sleep_for(kDrainStep.ToChrono());
     }
@@ -109,7 +111,6 @@
   }
 
   void Halt() {
-    peers_->StopServing();
     control_.stop();
     traffic_.stop();
     control_thread_.join();
@@ -276,7 +277,9 @@
       asio::post(control_, std::move(task));
     };
     hooks.version = [this] { return source_.Version(); };
-    hooks.catalog = [this](uint64_t known) { return CatalogFor(known); };
+    hooks.catalog = [this](uint64_t version, uint64_t targets) {
+      return CatalogFor(version, targets);
+    };
     hooks.needs_peers = [this] { return NeedsPeers(); };
     hooks.targets_revision = [this] { return source_.TargetsRevision(); };
     hooks.on_unchanged = [this](base::Millis age) {
@@ -303,14 +306,14 @@
     return hooks;
   }
 
-  PeerCatalog CatalogFor(uint64_t known) const {
+  PeerCatalog CatalogFor(uint64_t version, uint64_t targets) const {
     PeerCatalog catalog;
-    if (source_.Version() > known) {
+    if (source_.Version() > version) {
       catalog.configuration = source_.ConfigurationText();
     }
     const std::optional<base::Millis> age = source_.Age();
     if (age) {
-      catalog.targets = *source_.Current().targets;
+      source_.FillTargets(targets, &catalog);
       catalog.age = *age;
     }
     return catalog;
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -71,6 +71,8 @@
   PeerCatalog catalog;
   catalog.configuration = reply.configuration();
   catalog.age = {reply.age_ms()};
+  catalog.is_delta = reply.is_delta();
+  catalog.removed.assign(reply.removed().begin(), reply.removed().end());
   if (reply.has_targets()) {
     catalog.targets.emplace();
     for (const peer::CatalogTarget& it : reply.targets()) {
@@ -151,14 +153,19 @@
 
 peer::FetchCatalogReply PeerLink::Answer(
     const peer::FetchCatalogRequest& request) {
-  const PeerCatalog catalog = hooks_.catalog(request.known_version());
+  const PeerCatalog catalog =
+      hooks_.catalog(request.known_version(), request.known_targets());
   peer::FetchCatalogReply reply;
   reply.set_version(hooks_.version());
   reply.set_configuration(catalog.configuration);
   reply.set_age_ms(catalog.age.count);
   reply.set_has_targets(catalog.targets.has_value());
   reply.set_targets_revision(hooks_.targets_revision());
-  if (catalog.targets && request.known_targets() != reply.targets_revision()) {
+  reply.set_is_delta(catalog.is_delta);
+  for (const std::string& it : catalog.removed) {
+    reply.add_removed(it);
+  }
+  if (catalog.targets) {
     for (const auto& it : *catalog.targets) {
       *reply.add_targets() = ToMessage(it.second);
     }
@@ -178,6 +185,7 @@
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<std::string> addresses;
+  addresses.reserve(ranked.size());
   for (const auto& it : ranked) {
     addresses.push_back(it.second);
   }
@@ -222,7 +230,8 @@
   is_fetching_ = true;
   peer::FetchCatalogRequest request;
   request.set_known_version(hooks_.version());
-  request.set_known_targets(known_targets_);
+  // Changes are told only against what the same peer has told before.
+  request.set_known_targets(*address == known_from_ ? known_targets_ : 0);
   client_.FetchCatalog(
       *address, request, kFetchTimeout,
       [this, address = *address](std::optional<peer::FetchCatalogReply> reply) {
@@ -248,6 +257,7 @@
     hooks_.on_unchanged(catalog.age);
   } else if (reply->has_targets()) {
     known_targets_ = reply->targets_revision();
+    known_from_ = address;
   }
   hooks_.on_catalog(catalog);
 }
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -22,8 +22,9 @@
   /// Runs a task on the control thread, from any thread.
   std::function<void(std::function<void()>)> post;
   std::function<uint64_t()> version;
-  /// What this instance holds; the configuration only if newer than `known`.
-  std::function<PeerCatalog(uint64_t known)> catalog;
+  /// What this instance holds that is newer than a version of the
+  /// configuration and a revision of the targets.
+  std::function<PeerCatalog(uint64_t version, uint64_t targets)> catalog;
   /// Names the targets that this instance holds; another value, others.
   std::function<uint64_t()> targets_revision;
   std::function<bool()> needs_peers;
@@ -112,6 +113,7 @@
   /// The peer that answered the last fetch; empty: any.
   std::string source_;
   uint64_t known_targets_ = 0;
+  std::string known_from_;
   size_t failed_fetches_ = 0;
 };
 
