Hold back requests that crash engines; read the table service directly

Cause: a request that crashes each engine that begins it was sent on by every instance anew; the users' rules allow three more sends by all together. Change: CrashMemory counts engines that broke off before an answer, told between instances; losses of a whole failure domain accuse nobody. The test with engines that end at the request failed first.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -122,6 +122,8 @@
                     TimeUntilOthersAreAsked());
     }
     service_ = ChooseService();
+    content_ = base::Hash(request_.target + '\n' + facts_.api_key + '\n' +
+                          facts_.prompt + '\n' + request_.body);
     ledger_.emplace(route_->repeatability, route_->maximum_targets);
     last_event_ = facts_.last_event.value_or(0);
     const catalog::Service* service =
@@ -192,6 +194,10 @@
       if (!ledger_->MaySendAgain()) {
         break;
       }
+      if (forwarder_->crashes.IsHeld(content_, Clock::Now())) {
+        reason = base::Reason::kCondemned;
+        break;
+      }
       const std::optional<Placement> placement = Place();
       if (!placement && CanWaitForTarget()) {
         co_await Pause(kTargetWaitPeriod);
@@ -393,8 +399,14 @@
     } else {
       forwarder_->board.OnFailure(placement.id, now);
     }
+    const bool may_have_crashed_it = route_->is_stream && is_connection_lost &&
+                                     !HasStreamBegun() &&
+                                     result.outcome == SendOutcome::kUnknown;
+    const uint64_t suspect = may_have_crashed_it ? content_ : 0;
+    forwarder_->crashes.OnLost(suspect, placement.id, placement.failure_domain,
+                               now);
     if (forwarder_->on_target_lost) {
-      forwarder_->on_target_lost(placement.id);
+      forwarder_->on_target_lost(placement.id, suspect);
     }
     lost_domain_ = placement.failure_domain;
   }
@@ -783,6 +795,7 @@
     Recycle(connection, *reader, true);
     active_.reset();
     forwarder_->board.OnSuccess(placement.id, Clock::Now());
+    forwarder_->crashes.OnAnswered(content_);
     LogAnswer(reader->Status(), base::Reason::kNone);
     const std::string last(kLastChunk);
     const AfterAnswer written = co_await WriteWhole(last, after);
@@ -928,6 +941,8 @@
   const catalog::Route* route_ = nullptr;
   const catalog::EngineTraits* engine_ = nullptr;
   std::string service_;
+  /// Equal for requests with the same target, caller and body.
+  uint64_t content_ = 0;
   std::string workspace_;
   std::optional<int> priority_;
   /// The caller waits no longer.
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -198,6 +198,7 @@
   CPPUNIT_TEST(TestTimeoutOfTheRouteIsKept);
   CPPUNIT_TEST(TestStoppingInstanceRefusesWhatItCanNotFinish);
   CPPUNIT_TEST(TestReplacedTargetIsLeft);
+  CPPUNIT_TEST(TestRequestThatCrashesTargetsIsNotSentAnyMore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -488,6 +489,24 @@
     EXPECT_EQ(size_t{1}, target.Requests().size());
   }
 
+  // Engines of two domains end one after the other when they begin the
+  // request, and come back.
+  void TestRequestThatCrashesTargetsIsNotSentAnyMore() {
+    AddEngines(6, [this](Wire&, const std::string&) {
+      ++n_sends_;
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(CrashMemory::kTogether.count + 50));
+      return false;
+    });
+    for (int i = 0; i < 3; ++i) {
+      ReadStream(fmt::format("r{}", i), "");
+    }
+    EXPECT(n_sends_ >= static_cast<int>(CrashMemory::kLosses));
+    const int n = n_sends_;
+    ReadStream("last", "");
+    EXPECT_EQ(n, n_sends_.load());
+  }
+
  private:
   FakeTarget& AddTarget(FakeTarget::Script script) {
     targets_.push_back(std::make_unique<FakeTarget>(std::move(script)));
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -8,6 +8,7 @@
 #include "base/metrics.h"
 #include "catalog/catalog.h"
 #include "forward/connection_pool.h"
+#include "forward/crash_memory.h"
 #include "forward/retry_limit.h"
 #include "forward/target_board.h"
 
@@ -39,8 +40,11 @@
   TargetBoard board;
   ConnectionPool pool;
   RetryLimit retries;
+  CrashMemory crashes;
   /// Called when a target broke off, could not be reached or fell silent.
-  std::function<void(const std::string& target)> on_target_lost;
+  /// `content` identifies a request that may have crashed it; zero: none.
+  std::function<void(const std::string& target, uint64_t content)>
+      on_target_lost;
   /// Asks peers to count repeated sends to a service. `done` may run several
   /// times, with the number that one peer has taken over.
   std::function<void(const std::string& service, std::function<void(int)> done)>
--- a/src/forward/target_board.cc
+++ b/src/forward/target_board.cc
@@ -303,6 +303,11 @@
   }
 }
 
+std::string TargetBoard::DomainOf(const std::string& id) const {
+  const auto it = states_.find(id);
+  return it == states_.end() ? "" : it->second.target.failure_domain;
+}
+
 Millis TargetBoard::HeardAt(const std::string& id) const {
   const auto it = states_.find(id);
   return it == states_.end() ? Millis{INT64_MIN / 2} : it->second.heard_at;
--- a/src/forward/target_board.h
+++ b/src/forward/target_board.h
@@ -122,6 +122,9 @@
   /// The target refused for want of a place.
   void OnFull(const std::string& id, base::Millis now);
 
+  /// The target's failure domain; empty when it is not in force.
+  std::string DomainOf(const std::string& id) const;
+
   /// When the target last sent anything; far in the past if never.
   base::Millis HeardAt(const std::string& id) const;
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -59,8 +59,11 @@
         });
       });
     };
-    forwarder_.on_target_lost = [this](const std::string& target) {
-      asio::post(control_, [this, target] { peers_->TellLost(target); });
+    forwarder_.on_target_lost = [this](const std::string& target,
+                                       uint64_t content) {
+      asio::post(control_, [this, target, content] {
+        peers_->TellLost(target, content);
+      });
     };
   }
 
@@ -133,7 +136,6 @@
   // A reader whose call is silent for longer is no source for others.
   static constexpr base::Millis kReaderWait{1000};
   static constexpr base::Millis kOwnWait{5000};
-  static constexpr size_t kSmallGroup = 16;
   // What others told is older than this: the instance reads by itself. Leaves
   // half of the time within which a leaving target gets no more work.
   static constexpr base::Millis kOldestFromPeers{2200};
@@ -185,7 +187,7 @@
     if (!peers_->IsReader()) {
       return std::nullopt;
     }
-    return members_ > kSmallGroup ? kReaderWait : kOwnWait;
+    return members_ > settings_.direct_group ? kReaderWait : kOwnWait;
   }
 
   bool NeedsPeers() const {
@@ -297,9 +299,12 @@
       source_.OnPeerCatalog(
           it, is_followed ? PeerTrust::kFollowed : PeerTrust::kIfNewer);
     };
-    hooks.on_target_lost = [this](const std::string& target) {
-      asio::post(traffic_, [this, target] {
-        forwarder_.board.OnPeerFailure(target, base::Clock::Now());
+    hooks.on_target_lost = [this](const std::string& target, uint64_t content) {
+      asio::post(traffic_, [this, target, content] {
+        const base::Millis now = base::Clock::Now();
+        forwarder_.board.OnPeerFailure(target, now);
+        forwarder_.crashes.OnLost(content, target,
+                                  forwarder_.board.DomainOf(target), now);
       });
     };
     hooks.on_members = [this](size_t n) { OnMembers(n); };
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -18,9 +18,6 @@
 // A lost target is told to this many peers; each lost target is seen by
 // several instances, so that the news reaches all with few messages.
 constexpr size_t kTold = 12;
-// A group of this size reads the table service instance by instance; in a
-// larger one a few readers in each failure domain do.
-constexpr size_t kLargestDirectGroup = 16;
 constexpr size_t kReaders = 2;
 // Peers asked at once for retries, and how many each is asked for.
 constexpr size_t kLenders = 4;
@@ -89,6 +86,7 @@
                    PeerLinkHooks hooks)
     : hooks_(std::move(hooks)),
       seeds_(settings.seed_peers),
+      direct_group_(settings.direct_group),
       client_(ClientOptions(), metrics),
       group_(SelfOf(settings), &client_, GroupHooksOf()),
       server_(settings.peer_listen,
@@ -115,7 +113,9 @@
     group_.OnExchange(request, std::move(done));
   };
   parts.on_death = [this](const peer::ReportDeathRequest& request) {
-    hooks_.on_target_lost(request.target());
+    hooks_.on_target_lost(
+        request.target(),
+        request.victims().empty() ? 0 : request.victims(0).content_digest());
   };
   parts.on_lend_retries = [this](const peer::LendRetriesRequest& request,
                                  std::function<void(int)> done) {
@@ -193,7 +193,7 @@
 }
 
 bool PeerLink::IsReader() const {
-  if (group_.Table().Reachable().size() + 1 <= kLargestDirectGroup) {
+  if (group_.Table().Reachable().size() + 1 <= direct_group_) {
     return true;
   }
   const std::vector<std::string> ranked = RankedDomain();
@@ -275,10 +275,13 @@
   }
 }
 
-void PeerLink::TellLost(const std::string& target) {
+void PeerLink::TellLost(const std::string& target, uint64_t content) {
   auto peers = group_.Table().Reachable();
   peer::ReportDeathRequest request;
   request.set_target(target);
+  if (content != 0) {
+    request.add_victims()->set_content_digest(content);
+  }
   for (size_t i = 0; i < kTold && !peers.empty(); ++i) {
     const size_t n = base::RandomNumber() % peers.size();
     client_.ReportDeath(peers[n].address, request);
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -34,8 +34,10 @@
                      std::function<void(int)> done)>
       lend_retries;
   std::function<void(const PeerCatalog&)> on_catalog;
-  /// A peer has lost a target.
-  std::function<void(const std::string& target)> on_target_lost;
+  /// A peer has lost a target; `content` identifies a request that may have
+  /// crashed it, zero: none.
+  std::function<void(const std::string& target, uint64_t content)>
+      on_target_lost;
   /// Instances in the group, this one included.
   std::function<void(size_t)> on_members;
   /// A peer that reads the table service had nothing new, or did not answer.
@@ -84,7 +86,7 @@
   void StopServing() { server_.Shutdown(); }
 
   /// Tells peers of a lost target. On the control thread.
-  void TellLost(const std::string& target);
+  void TellLost(const std::string& target, uint64_t content);
 
  private:
   peer::GroupHooks GroupHooksOf();
@@ -105,6 +107,7 @@
 
   PeerLinkHooks hooks_;
   std::vector<std::string> seeds_;
+  size_t direct_group_;
   peer::PeerClient client_;
   peer::Group group_;
   peer::PeerServer server_;
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -49,6 +49,8 @@
   into->peer_listen = reader.Address("peer_listen", true);
   into->seed_peers = reader.TextList("seed_peers");
   into->store = reader.Address("store", true);
+  into->direct_group = static_cast<size_t>(reader.Number(
+      "direct_group", {1, 100'000}, static_cast<int64_t>(into->direct_group)));
   into->stop_grace = Seconds(reader, "stop_grace_s", into->stop_grace);
   reader.Child("retries", [&](yaml::Reader& child) {
     ReadRetries(child, &into->retries);
