--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -91,20 +91,18 @@
   kCall,
   kFirstEvent,
   kEventGap,
-  kStreamPause,
   kForward,
 };
 
-inline constexpr NameTable<Timer, 10> kTimerNames("first_token_ms",
-                                                  "inter_token_ms",
-                                                  "resume_ms",
-                                                  "copy_acknowledged_ms",
-                                                  "claim_ms",
-                                                  "call_ms",
-                                                  "first_event_ms",
-                                                  "event_gap_ms",
-                                                  "stream_pause_ms",
-                                                  "forward_ms");
+inline constexpr NameTable<Timer, 9> kTimerNames("first_token_ms",
+                                                 "inter_token_ms",
+                                                 "resume_ms",
+                                                 "copy_acknowledged_ms",
+                                                 "claim_ms",
+                                                 "call_ms",
+                                                 "first_event_ms",
+                                                 "event_gap_ms",
+                                                 "forward_ms");
 
 /// Properties that hold in every run; each check is counted.
 enum class Invariant : uint8_t {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -126,6 +126,7 @@
                           facts_.prompt + '\n' + request_.body);
     ledger_.emplace(route_->repeatability, route_->maximum_targets);
     last_event_ = facts_.last_event.value_or(0);
+    written_event_ = last_event_;
     const catalog::Service* service =
         catalog_.configuration->FindService(service_);
     engine_ =
@@ -647,6 +648,8 @@
       co_return SendResult{SendOutcome::kUnknown, base::Reason::kTargetBroken,
                            std::nullopt};
     }
+    forwarder_->metrics->Check(base::Invariant::kSuccessIsSealed,
+                               facts.is_sealed && facts.id == facts_.id);
     const bool is_success =
         reader->Status() >= kFirstSuccess && reader->Status() < kFirstRedirect;
     if (is_success && route_->is_stream && facts.is_event_stream) {
@@ -763,6 +766,7 @@
         heard_at = now;
       }
       std::string text;
+      size_t n_events = 0;
       for (const StreamEvent& it : splitter.Append(bytes)) {
         if (!it.id || *it.id != last_event_ + 1) {
           LogBadEvent(placement, it);
@@ -771,13 +775,15 @@
         }
         ++last_event_;
         text += it.bytes;
+        ++n_events;
         has_event = true;
         forwarder_->metrics->Add(base::Counter::kEventsRelayed);
       }
       if (!text.empty() && MayCopyRuns() && engine_->copies_on_demand) {
         keeper_->Advance(CopyRequestFor(placement), now);
       }
-      if (!text.empty() && !co_await WriteEvents(text, *reader, after)) {
+      if (!text.empty() &&
+          !co_await WriteEvents(text, n_events, *reader, after)) {
         is_gone_ = true;
         co_return SendResult{SendOutcome::kUnknown, base::Reason::kCallerGone,
                              std::nullopt};
@@ -824,6 +830,7 @@
   }
 
   net::asio::awaitable<bool> WriteEvents(const std::string& events,
+                                         size_t n_events,
                                          const AnswerReader& reader,
                                          AfterAnswer after) {
     const Millis now = Clock::Now();
@@ -842,6 +849,13 @@
       longest_gap_ = std::max(longest_gap_, now - event_written_at_);
     }
     event_written_at_ = now;
+    const bool is_contiguous =
+        last_event_ == written_event_ + static_cast<int64_t>(n_events);
+    if (!forwarder_->metrics->Check(base::Invariant::kEventsContiguous,
+                                    is_contiguous)) {
+      co_return false;
+    }
+    written_event_ = last_event_;
     text += Chunk(events);
     co_return co_await caller_->Write(text, now + kWriteTimeout);
   }
@@ -968,8 +982,10 @@
   std::optional<CopyKeeper<Names>> keeper_;
   std::optional<MemorySource> memory_;
   CopyUse copy_use_ = CopyUse::kNone;
-  /// The last event that the caller has.
+  /// The last event that was taken from a target, and that was written to the
+  /// caller.
   int64_t last_event_ = 0;
+  int64_t written_event_ = 0;
   bool is_head_written_ = false;
   Millis event_written_at_;
   Millis longest_gap_;
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -82,9 +82,6 @@
   ~Instance() {
     io_.stop();
     thread_.join();
-    for (size_t i = 0; i < base::kInvariantNames.Size(); ++i) {
-      EXPECT_EQ(int64_t{0}, metrics.Violated(static_cast<base::Invariant>(i)));
-    }
   }
 
   Instance(const Instance&) = delete;
@@ -208,6 +205,10 @@
   }
 
   void tearDown() override {
+    for (size_t i = 0; i < base::kInvariantNames.Size(); ++i) {
+      const auto invariant = static_cast<base::Invariant>(i);
+      EXPECT_EQ(int64_t{0}, instance_->metrics.Violated(invariant));
+    }
     targets_.clear();
     instance_.reset();
   }
