Read the configuration from the store everywhere, the targets through readers

Cause (the open finding on direct_group): a reader passed the whole configuration, 1,732 routes after a growth, to each of some 16 followers over its own link of 10 Mbit/s; events of streams waited behind it for more than the 200 ms that callers accept.

Ruled out: gaps and first events (38 of 275 late streams had a gap over 700 ms).

Change: each instance reads the configuration itself and takes it from a peer only while the store does not answer; readers pass the targets. Groups of more than 16 use readers from now on.

--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -120,22 +120,27 @@
     follower_.OnAnswered(targets_known_at_);
   }
 
-  void OnConfigurationAnswered() {
-    configuration_known_at_ = base::Clock::Now();
+  void OnConfigurationAnswered() { is_configuration_away_ = false; }
+  void OnConfigurationAway() { is_configuration_away_ = true; }
+
+  /// True while a configuration is to be had from peers only. It may be large,
+  /// and a peer's link much narrower than that of the table service.
+  bool NeedsPeersConfiguration() const {
+    return catalog_.configuration == nullptr || is_configuration_away_;
   }
 
-  /// How old the catalog can be. Empty while it is not whole.
+  /// How old the targets can be. Empty while the catalog is not whole.
   std::optional<base::Millis> Age() const {
     if (!catalog_.IsComplete()) {
       return std::nullopt;
     }
-    return base::Clock::Now() -
-           std::min(targets_known_at_, configuration_known_at_);
+    return base::Clock::Now() - targets_known_at_;
   }
 
   /// True while a peer may know more than this instance.
   bool NeedsPeers() const {
-    return !catalog_.IsComplete() || follower_.IsAway();
+    return !catalog_.IsComplete() || follower_.IsAway() ||
+           is_configuration_away_;
   }
 
   /// A peer whose catalog this instance holds has nothing newer.
@@ -233,9 +238,7 @@
   }
 
   void NoteAge(base::Millis age) {
-    const base::Millis known_at = base::Clock::Now() - age;
-    targets_known_at_ = std::max(targets_known_at_, known_at);
-    configuration_known_at_ = std::max(configuration_known_at_, known_at);
+    targets_known_at_ = std::max(targets_known_at_, base::Clock::Now() - age);
   }
 
   std::optional<catalog::Target> Decode(const catalog::Row& row) {
@@ -293,7 +296,7 @@
   catalog::Catalog catalog_;
   std::string configuration_text_;
   base::Millis targets_known_at_;
-  base::Millis configuration_known_at_;
+  bool is_configuration_away_ = false;
   // A random start, so that revisions of other processes are not taken for
   // this one's.
   uint64_t targets_revision_ = base::RandomNumber() >> 1;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -153,8 +153,9 @@
     };
     events.on_away = [this](catalog::ReadFault) {
       metrics_.Add(base::Counter::kStoreCalls);
+      source_.OnConfigurationAway();
     };
-    events.next_wait = [this] { return NextWait(); };
+    events.next_wait = [] { return kOwnWait; };
     return events;
   }
 
@@ -178,8 +179,8 @@
     return events;
   }
 
-  /// Whether this instance reads the table service by itself now, and how
-  /// long a call may wait. Shorter waits notice a silent connection sooner.
+  /// Whether this instance reads the targets by itself now, and how long a
+  /// call may wait. Shorter waits notice a silent connection sooner.
   std::optional<base::Millis> NextWait() const {
     const std::optional<base::Millis> age = source_.Age();
     if (!age || *age > kOldestFromPeers) {
@@ -284,6 +285,9 @@
       return CatalogFor(version, targets);
     };
     hooks.needs_peers = [this] { return NeedsPeers(); };
+    hooks.needs_configuration = [this] {
+      return source_.NeedsPeersConfiguration();
+    };
     hooks.targets_revision = [this] { return source_.TargetsRevision(); };
     hooks.on_unchanged = [this](base::Millis age) {
       source_.OnPeerUnchanged(age);
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(TestUnreadableConfigurationKeepsTheOneInForce);
   CPPUNIT_TEST(TestUnreadableTargetNamesNone);
   CPPUNIT_TEST(TestPeerIsFollowedWhileItKnowsMore);
+  CPPUNIT_TEST(TestConfigurationComesFromPeersOnlyWhileTheStoreIsAway);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -133,6 +134,23 @@
     EXPECT_EQ(int64_t{1}, metrics_.Value(base::Counter::kTargetsUnreadable));
   }
 
+  /// Peers' links may be narrow, and each reader would carry the whole
+  /// configuration once for each follower.
+  void TestConfigurationComesFromPeersOnlyWhileTheStoreIsAway() {
+    EXPECT(source_->NeedsPeersConfiguration());
+    source_->OnConfigurationText("7");
+    source_->OnConfigurationAnswered();
+    EXPECT(!source_->NeedsPeersConfiguration());
+    source_->OnTargetsListed({{"x", "10.0.0.1:1", false}});
+    source_->OnTargetsAnswered();
+    EXPECT(!source_->NeedsPeers());
+    source_->OnConfigurationAway();
+    EXPECT(source_->NeedsPeersConfiguration());
+    EXPECT(source_->NeedsPeers());
+    source_->OnConfigurationAnswered();
+    EXPECT(!source_->NeedsPeersConfiguration());
+  }
+
   void TestPeerIsFollowedWhileItKnowsMore() {
     source_->OnConfigurationText("7");
     source_->OnTargetsListed({{"x", "10.0.0.1:1", false}});
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -230,7 +230,8 @@
   }
   is_fetching_ = true;
   peer::FetchCatalogRequest request;
-  request.set_known_version(hooks_.version());
+  request.set_known_version(hooks_.needs_configuration() ? hooks_.version()
+                                                         : UINT64_MAX);
   // Changes are told only against what the same peer has told before.
   request.set_known_targets(*address == known_from_ ? known_targets_ : 0);
   client_.FetchCatalog(
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -29,6 +29,8 @@
   /// Names the targets that this instance holds; another value, others.
   std::function<uint64_t()> targets_revision;
   std::function<bool()> needs_peers;
+  /// Whether a peer's configuration is wanted besides its targets.
+  std::function<bool()> needs_configuration;
   std::function<void(const PeerCatalog&)> on_catalog;
   /// A peer has lost a target; `content` identifies a request that may have
   /// crashed it, zero: none.
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -36,11 +36,10 @@
   std::vector<std::string> seed_peers;
   /// The table service.
   std::string store;
-  /// Instances of a group of up to this size read the table service by
-  /// themselves; in a larger one two in each failure domain read for all.
-  /// Reading by oneself serves callers better while the table service carries
-  /// it (docs/PLATFORM.md).
-  size_t direct_group = 400;
+  /// Instances of a group of up to this size read the targets from the table
+  /// service by themselves; in a larger one two in each failure domain read
+  /// for all, so that its load does not grow with the group.
+  size_t direct_group = 16;
   /// From the request to stop until the process is killed.
   base::Millis stop_grace{8000};
   RetrySettings retries;
