Take a repeated send before the target is chosen; ask pools for what is missing

A send that never left cost one more.

Ruled out: slow holders (questions answered in 4 ms, p99 91 ms). Tried and dropped: counting the busiest of three windows in the pools; the history of all instances together went 2 sends over the stated bound.

Change: as many sends are asked for as requests wait; the target is chosen after the wait; a send that did not leave keeps its permit. Part of the slack is pooled. A begun stream waits as long as a copy is kept, at most 4 s. The history of all instances is now judged by the stated rule besides the narrower bound it had.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -200,6 +200,11 @@
         reason = base::Reason::kCondemned;
         break;
       }
+      if (ledger_->Sends() > 0 && !has_retry_ &&
+          !co_await AcquireRetry(reason)) {
+        reason = base::Reason::kRetryBudgetSpent;
+        break;
+      }
       const std::optional<Placement> placement = co_await Place();
       if (is_gone_) {
         break;
@@ -214,12 +219,6 @@
                      : reason;
         break;
       }
-      // A send that never left is no load on the service.
-      if (ledger_->Sends() > 0 && !TakeRetry(reason) &&
-          !co_await WaitForRetry(reason)) {
-        reason = base::Reason::kRetryBudgetSpent;
-        break;
-      }
       const SendResult result = co_await SendTo(*placement, reason);
       if (result.finished) {
         co_return *result.finished;
@@ -234,8 +233,16 @@
 
   /// A stream that has begun is worth a short wait for a target.
   bool CanWaitForTarget() const {
-    return HasStreamBegun() &&
-           Clock::Now() < event_written_at_ + kLongestTargetWait;
+    return HasStreamBegun() && Clock::Now() < PauseLimit();
+  }
+
+  /// How long a stream that has begun may wait for what it needs to go on.
+  Millis PauseLimit() const {
+    const Millis patience = std::max(
+        {kShortestCallerPatience, route_->latency_aim * kPatienceInLatencyAims,
+         route_->gap_aim * kPatienceInPauses});
+    return event_written_at_ +
+           std::min(kLongestTargetWait, patience * kPatienceShare / kHundred);
   }
 
   net::asio::awaitable<void> Pause(Millis span) {
@@ -313,6 +320,13 @@
     return true;
   }
 
+  /// Takes a repeated send, which lasts until a send has left: one that never
+  /// left is no load on the service.
+  net::asio::awaitable<bool> AcquireRetry(base::Reason reason) {
+    has_retry_ = TakeRetry(reason) || co_await WaitForRetry(reason);
+    co_return has_retry_;
+  }
+
   /// Waits until the pool grants a repeated send or earlier ones of this
   /// instance no longer count.
   net::asio::awaitable<bool> WaitForRetry(base::Reason reason) {
@@ -322,15 +336,17 @@
     const Millis began_at = Clock::Now();
     const Millis limit =
         HasStreamBegun()
-            ? event_written_at_ + kLongestTargetWait
+            ? PauseLimit()
             : began_at + route_->latency_aim * kRetryWaitShare / kHundred;
     bool is_taken = false;
+    forwarder_->BeginRetryWait(service_);
     while (!is_taken && !is_gone_ && Clock::Now() < limit &&
            TimeLeft() > kShortestSend) {
-      forwarder_->AskForRetry(service_);
+      forwarder_->AskForRetries(service_);
       co_await Pause(kRetryPollPeriod);
       is_taken = !is_gone_ && TakeRetry(reason);
     }
+    forwarder_->EndRetryWait(service_);
     LogRetryWait(is_taken, Clock::Now() - began_at);
     co_return is_taken;
   }
@@ -381,6 +397,7 @@
     SettleCopies(result.outcome, first_event);
     active_.reset();
     ledger_->OnEnded(placement.id, result.outcome);
+    has_retry_ = has_retry_ && result.outcome == SendOutcome::kNotSent;
     LogSendEnded(placement, result, Clock::Now() - began_at);
     if (!result.finished && !is_gone_) {
       NoteFailure(placement, result);
@@ -982,6 +999,8 @@
   std::optional<SendLedger> ledger_;
   int attempts_ = 0;
   int refusals_ = 0;
+  /// A repeated send that is counted and not made yet.
+  bool has_retry_ = false;
   std::set<std::string> excluded_;
   std::string lost_domain_;
   /// The engine whose connection broke last; tried once more.
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -26,10 +26,16 @@
 /// its latency aim, in hundredths.
 inline constexpr int64_t kRetryWaitShare = 25;
 /// A stream without a target that could go on, or without a repeated send,
-/// asks again this often, and for this long after its last event; callers give
-/// up after five seconds or more.
+/// asks again this often. It is given up this long after its last event, as
+/// long as a copy of its memory is kept, or sooner: callers leave a stream that
+/// pauses for longer than the largest of two seconds, four latency aims and
+/// eight accepted pauses, and it is given up at a share of that, in hundredths.
 inline constexpr base::Millis kTargetWaitPeriod{100};
-inline constexpr base::Millis kLongestTargetWait{2500};
+inline constexpr base::Millis kLongestTargetWait{4000};
+inline constexpr base::Millis kShortestCallerPatience{2000};
+inline constexpr int64_t kPatienceInLatencyAims = 4;
+inline constexpr int64_t kPatienceInPauses = 8;
+inline constexpr int64_t kPatienceShare = 75;
 /// Refusals by targets before the request is refused.
 inline constexpr int kMaximumRefusals = 4;
 /// Answers to earlier requests that are skipped on one connection.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -6,6 +6,13 @@
 
 namespace daisypond::forward {
 
+namespace {
+
+// After an answer that was too small the next pool is asked this much later.
+constexpr base::Millis kEmptyPoolPause{60};
+
+}  // namespace
+
 Forwarder::Forwarder(const net::asio::any_io_executor& traffic_executor,
                      ForwarderOptions forwarder_options,
                      base::Metrics* process_metrics)
@@ -33,18 +40,32 @@
   }
 }
 
-void Forwarder::AskForRetry(const std::string& service) {
-  RetryQuestion& question = retry_questions[service];
-  ++question.wanted;
-  if (question.is_open || !borrow_retries) {
+void Forwarder::BeginRetryWait(const std::string& service) {
+  ++retry_queues[service].waiting;
+}
+
+void Forwarder::EndRetryWait(const std::string& service) {
+  --retry_queues[service].waiting;
+}
+
+void Forwarder::AskForRetries(const std::string& service) {
+  const base::Millis now = base::Clock::Now();
+  RetryQueue& queue = retry_queues[service];
+  const int wanted = queue.waiting - retries.Borrowed(service, now);
+  if (queue.is_asking || !borrow_retries || wanted <= 0 ||
+      now < queue.next_question) {
     return;
   }
-  question.is_open = true;
-  borrow_retries(service, std::exchange(question.wanted, 0),
-                 [this, service](int n) {
-                   retry_questions[service].is_open = false;
-                   retries.OnBorrowed(service, n, base::Clock::Now());
-                 });
+  queue.is_asking = true;
+  borrow_retries(service, wanted, [this, service, wanted](int n) {
+    const base::Millis answered_at = base::Clock::Now();
+    RetryQueue& asked = retry_queues[service];
+    asked.is_asking = false;
+    if (n < wanted) {
+      asked.next_question = answered_at + kEmptyPoolPause;
+    }
+    retries.OnBorrowed(service, n, answered_at);
+  });
 }
 
 }  // namespace daisypond::forward
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -31,9 +31,11 @@
   /// one is refused.
   void Apply(const catalog::Catalog& next);
 
-  /// Asks the shared pool for one repeated send. Calls that come while an
-  /// answer is awaited share the next question.
-  void AskForRetry(const std::string& service);
+  /// A request waits for a repeated send, or no longer does. While any waits,
+  /// AskForRetries() asks the shared pool for as many as are missing.
+  void BeginRetryWait(const std::string& service);
+  void EndRetryWait(const std::string& service);
+  void AskForRetries(const std::string& service);
 
   /// False when the catalog is not known or the process is stopping.
   bool IsReady() const { return catalog.IsComplete() && !is_stopping; }
@@ -56,11 +58,13 @@
                      int wanted,
                      std::function<void(int)> done)>
       borrow_retries;
-  struct RetryQuestion {
-    bool is_open = false;
-    int wanted = 0;
+  struct RetryQueue {
+    int waiting = 0;
+    bool is_asking = false;
+    /// The pool had too few; it is not asked before this time.
+    base::Millis next_question;
   };
-  std::map<std::string, RetryQuestion> retry_questions;
+  std::map<std::string, RetryQueue> retry_queues;
   bool is_stopping = false;
   /// Open streams and calls are cut at this time; only while stopping.
   base::Millis stop_at;
--- a/src/forward/retry_limit.cc
+++ b/src/forward/retry_limit.cc
@@ -51,10 +51,7 @@
     counts.retries.push_back(now);
     return true;
   }
-  while (!counts.borrowed.empty() &&
-         counts.borrowed.front() + options_.borrowed_life <= now) {
-    counts.borrowed.pop_front();
-  }
+  ExpireBorrowed(&counts, now);
   if (use == RetryUse::kImprove || counts.borrowed.empty()) {
     return false;
   }
@@ -62,6 +59,20 @@
   return true;
 }
 
+void RetryLimit::ExpireBorrowed(Counts* counts, base::Millis now) const {
+  auto& borrowed = counts->borrowed;
+  while (!borrowed.empty() &&
+         borrowed.front() + options_.borrowed_life <= now) {
+    borrowed.pop_front();
+  }
+}
+
+int RetryLimit::Borrowed(const std::string& service, base::Millis now) {
+  Counts& counts = services_[service];
+  ExpireBorrowed(&counts, now);
+  return static_cast<int>(counts.borrowed.size());
+}
+
 void RetryLimit::OnBorrowed(const std::string& service,
                             int n,
                             base::Millis now) {
--- a/src/forward/retry_limit.h
+++ b/src/forward/retry_limit.h
@@ -31,7 +31,7 @@
   double improve_share = 0.6;
   /// Part of what a request adds to the limit that this instance gives to the
   /// shared pool while it has one.
-  double pooled_share = 0.5;
+  double pooled_share = 0.75;
 };
 
 /// Bounds the repeated sends to each service by the requests for it in a
@@ -55,6 +55,9 @@
   /// Counts a repeated send; false when it would go over the limit.
   bool TakeRetry(const std::string& service, RetryUse use, base::Millis now);
 
+  /// Repeated sends that the pool has granted and that are not made yet.
+  int Borrowed(const std::string& service, base::Millis now);
+
   /// Takes over repeated sends that the pool has counted.
   void OnBorrowed(const std::string& service, int n, base::Millis now);
 
@@ -77,6 +80,7 @@
   double LimitOf(const Counts& counts) const;
 
   void Expire(Counts* counts, base::Millis now) const;
+  void ExpireBorrowed(Counts* counts, base::Millis now) const;
 
   RetryLimitOptions options_;
   bool is_pooled_ = false;
--- a/src/forward/retry_limit_test.cc
+++ b/src/forward/retry_limit_test.cc
@@ -75,7 +75,7 @@
     while (limit.TakeRetry(kService, RetryUse::kRescue, {1})) {
       ++n;
     }
-    EXPECT_EQ(5, n);
+    EXPECT_EQ(2, n);
   }
 
   void TestPoolForgetsAfterTheWindow() {
@@ -89,10 +89,12 @@
     // The first requests have expired, the sends not yet.
     EXPECT_EQ(0, pool.Take(kService, 3, {10'000}));
     EXPECT_EQ(2, pool.Take(kService, 3, {10'003}));
+    pool.SetAllowance(1);
+    EXPECT_EQ(1, pool.Take("another", 3, {10'003}));
   }
 
   // Plays the heaviest loss: 60 instances take 76 requests a second unevenly,
-  // then those of one failure domain lose six streams each at once. All of
+  // then those of one failure domain lose 15 streams each at once. All of
   // them together have enough repeated sends; so each stream must get one.
   // Without the pool two in five are cut.
   void TestCommonLossIsServedFromThePool() {
@@ -128,10 +130,13 @@
   }
 
   // Requests are spread unevenly and each instance sends as much as it may,
-  // with loans: no window of all instances together goes over the bound.
+  // with pools: no window of all instances together goes over the bound.
   void TestAllInstancesTogetherKeepTheBound() {
     EXPECT(rc::check("the shared bound holds", [](uint64_t seed) {
       constexpr size_t kInstances = 6;
+      constexpr double kRatio = 0.8;
+      // The instances use 18 of it.
+      constexpr double kSlack = 30;
       std::mt19937_64 random(seed);
       std::vector<RetryLimit> limits(kInstances, RetryLimit(Options()));
       std::vector<RetryPool> pools(
@@ -166,16 +171,23 @@
           }
           sends.push_back(now);
         }
-        // Borrowed sends are made up to a second after they were counted, so
-        // the judged window is that much shorter than the counted one.
-        const auto since = [&](const std::deque<int64_t>& times, int64_t span) {
-          return std::count_if(times.begin(), times.end(),
-                               [&](int64_t it) { return it > now - span; });
+        // The stated bound: in any window the ratio on the requests of that
+        // window, of the one before or of the one half a window before.
+        const auto within = [&](const std::deque<int64_t>& times, int64_t from,
+                                int64_t to) {
+          return static_cast<double>(std::count_if(
+              times.begin(), times.end(),
+              [&](int64_t it) { return it > now - from && it <= now - to; }));
         };
-        const double bound =
-            0.76 * static_cast<double>(since(requests, 11'000)) +
-            3.0 * kInstances;
-        RC_ASSERT(static_cast<double>(since(sends, 9'000)) <= bound);
+        const double most = std::max({within(requests, 10'000, 0),
+                                      within(requests, 15'000, 5000),
+                                      within(requests, 20'000, 10'000)});
+        RC_ASSERT(within(sends, 10'000, 0) <= kRatio * most + kSlack);
+        // Borrowed sends are made up to a second after they were counted, so
+        // this window is that much shorter than the counted one.
+        RC_ASSERT(within(sends, 9000, 0) <=
+                  Options().ratio * within(requests, 11'000, 0) +
+                      Options().allowance * kInstances);
       }
     }));
   }
--- a/src/forward/retry_pool.cc
+++ b/src/forward/retry_pool.cc
@@ -27,17 +27,14 @@
 }
 
 int RetryPool::Take(const std::string& service, int wanted, base::Millis now) {
-  const auto it = services_.find(service);
-  if (it == services_.end()) {
-    return 0;
-  }
-  Expire(&it->second.requests, now);
-  Expire(&it->second.taken, now);
-  const double left = ratio_ * static_cast<double>(it->second.requests.total) -
-                      static_cast<double>(it->second.taken.total);
+  Service& counts = services_[service];
+  Expire(&counts.requests, now);
+  Expire(&counts.taken, now);
+  const double left = ratio_ * static_cast<double>(counts.requests.total) +
+                      allowance_ - static_cast<double>(counts.taken.total);
   const int n = std::clamp(static_cast<int>(left), 0, std::max(wanted, 0));
   if (n > 0) {
-    Add(&it->second.taken, n, now);
+    Add(&counts.taken, n, now);
   }
   return n;
 }
--- a/src/forward/retry_pool.h
+++ b/src/forward/retry_pool.h
@@ -20,6 +20,9 @@
   RetryPool(base::Millis window, double ratio)
       : window_(window), ratio_(ratio) {}
 
+  /// Repeated sends beyond the ratio.
+  void SetAllowance(double allowance) { allowance_ = allowance; }
+
   /// An instance has taken `n` requests since its last report.
   void OnRequests(const std::string& service, int n, base::Millis now);
 
@@ -48,6 +51,7 @@
 
   base::Millis window_;
   double ratio_;
+  double allowance_ = 0;
   std::map<std::string, Service> services_;
 };
 
--- a/src/gateway/forwarder_options.cc
+++ b/src/gateway/forwarder_options.cc
@@ -9,8 +9,11 @@
 // Requests and repeated sends are counted in windows that other instances
 // place differently.
 constexpr double kRatioShare = 0.95;
-// The rest covers instances that have not noticed others yet.
-constexpr double kSlackShare = 0.6;
+// Parts of the slack that all instances use by themselves and from the pools.
+// The rest covers instances that have not noticed others yet, and groups that
+// are cut off from each other.
+constexpr double kOwnSlackShare = 0.2;
+constexpr double kPooledSlackShare = 0.4;
 // Until others are known; no deployment has many more instances.
 constexpr size_t kAssumedMembers = 350;
 
@@ -28,12 +31,16 @@
 
 forward::RetryPool RetryPoolOf(const Settings& settings) {
   const forward::RetryLimitOptions options;
-  return {settings.retries.window,
-          settings.retries.ratio * kRatioShare * options.pooled_share};
+  forward::RetryPool pool(
+      settings.retries.window,
+      settings.retries.ratio * kRatioShare * options.pooled_share);
+  pool.SetAllowance(settings.retries.slack * kPooledSlackShare /
+                    static_cast<double>(kPoolHolders));
+  return pool;
 }
 
 double AllowanceOf(const Settings& settings, size_t members) {
-  return settings.retries.slack * kSlackShare /
+  return settings.retries.slack * kOwnSlackShare /
          static_cast<double>(std::max<size_t>(members, 1));
 }
 
--- a/src/gateway/forwarder_options.h
+++ b/src/gateway/forwarder_options.h
@@ -10,6 +10,11 @@
 /// What this instance takes of the bounds that hold for all together.
 forward::ForwarderOptions ForwarderOptionsOf(const Settings& settings);
 
+/// Members that keep a pool: enough that questions of some hundred members
+/// after a common loss are answered within milliseconds, and that the loss of
+/// one costs little.
+inline constexpr size_t kPoolHolders = 4;
+
 /// The pool that an instance keeps for others.
 forward::RetryPool RetryPoolOf(const Settings& settings);
 
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -105,8 +105,12 @@
   void TestSlackIsSharedByAllInstances() {
     Settings settings = *ParseSettings("f", kSettings);
     for (const size_t n : {1, 8, 83, 300}) {
-      EXPECT(AllowanceOf(settings, n) * static_cast<double>(n) <=
-             settings.retries.slack);
+      const double own = AllowanceOf(settings, n) * static_cast<double>(n);
+      double pooled = 0;
+      for (size_t i = 0; i < kPoolHolders; ++i) {
+        pooled += RetryPoolOf(settings).Take("none", 1000, {0});
+      }
+      EXPECT(own + pooled <= settings.retries.slack);
     }
     EXPECT(ForwarderOptionsOf(settings).retries.ratio <=
            settings.retries.ratio);
--- a/src/gateway/retry_share.cc
+++ b/src/gateway/retry_share.cc
@@ -4,14 +4,13 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/log.h"
+#include "gateway/forwarder_options.h"
 
 namespace daisypond::gateway {
 
 namespace {
 
-// Enough that questions of some hundred members after a common loss are
-// answered within milliseconds, and that the loss of one costs little.
-constexpr size_t kHolders = 4;
 // Sets the order of holders apart from other orders of the same members.
 constexpr uint64_t kHolderSeed = 0x7265747279;
 // Some round trips; a stream that waits has several hundred milliseconds.
@@ -33,7 +32,7 @@
   add(self);
   std::for_each(peers.begin(), peers.end(), add);
   std::sort(ranked.begin(), ranked.end());
-  ranked.resize(std::min(ranked.size(), kHolders));
+  ranked.resize(std::min(ranked.size(), kPoolHolders));
   std::vector<std::string> holders;
   for (auto& it : ranked) {
     holders.push_back(std::move(it.second));
@@ -41,6 +40,11 @@
   return holders;
 }
 
+void RetryShare::LogLostReport(const std::string& holder) {
+  base::Log(base::LogLevel::kWarning, "retry_report_lost",
+            {{"holder", holder}});
+}
+
 std::string RetryShare::NextHolder() {
   const auto& table = group_->Table();
   std::vector<std::string> holders =
@@ -77,6 +81,7 @@
   client_->ReportRequests(holder, report, kCallTimeout,
                           [this, holder](bool is_taken) {
                             if (!is_taken) {
+                              LogLostReport(holder);
                               post_([this, holder] { OnFailed(holder); });
                             }
                           });
@@ -93,7 +98,23 @@
     done(OnBorrow(request));
     return;
   }
-  client_->LendRetries(holder, request, kCallTimeout, std::move(done));
+  const base::Millis asked_at = base::Clock::Now();
+  client_->LendRetries(
+      holder, request, kCallTimeout,
+      [this, service, wanted, holder, asked_at,
+       done = std::move(done)](std::optional<int> granted) {
+        base::Log(base::LogLevel::kInfo, "retries_borrowed",
+                  {{"service", service},
+                   {"holder", holder},
+                   {"answered", granted.has_value()},
+                   {"wanted", wanted},
+                   {"granted", granted.value_or(0)},
+                   {"took_ms", (base::Clock::Now() - asked_at).count}});
+        if (!granted) {
+          post_([this, holder] { OnFailed(holder); });
+        }
+        done(granted.value_or(0));
+      });
 }
 
 void RetryShare::OnReport(const peer::ReportRequestsRequest& request) {
--- a/src/gateway/retry_share.h
+++ b/src/gateway/retry_share.h
@@ -55,6 +55,7 @@
   /// The next holder that has not failed lately; empty: none is known.
   std::string NextHolder();
   void OnFailed(const std::string& address);
+  static void LogLostReport(const std::string& holder);
 
   const peer::Group* group_;
   peer::PeerClient* client_;
--- a/src/peer/peer_client.cc
+++ b/src/peer/peer_client.cc
@@ -274,7 +274,7 @@
 void PeerClient::LendRetries(const std::string& address,
                              const LendRetriesRequest& request,
                              base::Millis timeout,
-                             std::function<void(int)> done) {
+                             std::function<void(std::optional<int>)> done) {
   auto shared = std::make_shared<LendRetriesRequest>(request);
   Start<LendRetriesRequest, LendRetriesReply>(
       address, *shared, timeout,
@@ -285,7 +285,7 @@
             [shared, on_done](const grpc::Status& status) { on_done(status); });
       },
       [done = std::move(done)](const std::optional<LendRetriesReply>& reply) {
-        done(reply ? reply->granted() : 0);
+        done(reply ? std::optional<int>(reply->granted()) : std::nullopt);
       });
 }
 
--- a/src/peer/peer_client.h
+++ b/src/peer/peer_client.h
@@ -70,11 +70,12 @@
                     base::Millis timeout,
                     OnCatalog done);
 
-  /// `done` gets the number of repeated sends that the peer took over.
+  /// `done` gets the number of repeated sends that the peer grants; empty when
+  /// it has not answered.
   void LendRetries(const std::string& address,
                    const LendRetriesRequest& request,
                    base::Millis timeout,
-                   std::function<void(int)> done);
+                   std::function<void(std::optional<int>)> done);
 
   /// `done` gets whether the peer has taken the report.
   void ReportRequests(const std::string& address,
