Test waiting for a repeated send and asking engines through real sockets

Cause: since engines are asked for their load first, the scripts of fake engines counted those questions as sends, so that TestSilentEngineIsLeft no longer met a silent engine on its first send. The fakes now answer questions apart; the test is as strict as before the survey.

--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -110,6 +110,20 @@
     }
   }
 
+  /// Leaves the instance no repeated sends of its own.
+  template <typename Borrow>
+  void LetRetriesBeBorrowed(Borrow borrow) {
+    std::atomic<bool> is_done = false;
+    asio::post(io_, [&] {
+      forwarder_->retries.SetAllowance(0);
+      forwarder_->borrow_retries = borrow;
+      is_done = true;
+    });
+    while (!is_done) {
+      std::this_thread::yield();
+    }
+  }
+
   uint16_t Port() const { return port_; }
 
   base::Metrics metrics;
@@ -188,6 +202,9 @@
   CPPUNIT_TEST(TestCallerThatLeavesFreesTheTarget);
   CPPUNIT_TEST(TestStreamGoesOnAfterALoss);
   CPPUNIT_TEST(TestStreamGoesOnFromACopy);
+  CPPUNIT_TEST(TestEngineThatReadsAPromptIsPassedOver);
+  CPPUNIT_TEST(TestLostStreamWaitsForARepeatedSend);
+  CPPUNIT_TEST(TestStreamIsCutWhenNoRepeatedSendComes);
   CPPUNIT_TEST(TestSilentEngineIsLeft);
   CPPUNIT_TEST(TestSkippedEventIsNotPassed);
   CPPUNIT_TEST(TestStreamThatCanNotGoOnHasNoEnd);
@@ -407,6 +424,47 @@
     EXPECT_EQ(copy_to_ + "/r1", from_copy_);
   }
 
+  void TestEngineThatReadsAPromptIsPassedOver() {
+    busy_engine_ = 0;
+    AddEngines(2, [this](Wire& wire, const std::string& head) {
+      served_by_ = FieldOf(head, "Target-Id");
+      return Serve(wire, head, 1, 1);
+    });
+    // Engine 0 is in the instance's own domain and would be taken otherwise.
+    EXPECT_EQ(std::string("1,end"), EventsOf(ReadStream("r1", "")));
+    EXPECT_EQ(std::string("t1"), served_by_);
+  }
+
+  void TestLostStreamWaitsForARepeatedSend() {
+    AddEngines(3, [this](Wire& wire, const std::string& head) {
+      return Serve(wire, head, 6, 3);
+    });
+    std::atomic<int> n_asked = 0;
+    instance_->LetRetriesBeBorrowed(
+        [&n_asked](const std::string&, int wanted,
+                   const std::function<void(int)>& done) {
+          // The pool has none when it is asked first.
+          done(++n_asked > 1 ? wanted : 0);
+        });
+    EXPECT_EQ(std::string("1,2,3,4,5,6,end"), EventsOf(ReadStream("r1", "")));
+    EXPECT_EQ(2, n_asked.load());
+  }
+
+  void TestStreamIsCutWhenNoRepeatedSendComes() {
+    AddEngines(3, [this](Wire& wire, const std::string& head) {
+      return Serve(wire, head, 6, 3);
+    });
+    instance_->LetRetriesBeBorrowed(
+        [](const std::string&, int, const std::function<void(int)>& done) {
+          done(0);
+        });
+    const base::Millis began_at = base::Clock::Now();
+    EXPECT_EQ(std::string("1,2,3"), EventsOf(ReadStream("r1", "")));
+    // The caller would leave after 5.6 s.
+    EXPECT(base::Clock::Now() - began_at < base::Millis{5600});
+    EXPECT(n_sends_ == 1);
+  }
+
   void TestSilentEngineIsLeft() {
     AddEngines(2, [this](Wire& wire, const std::string& head) {
       if (++n_sends_ > 1) {
@@ -447,9 +505,6 @@
 
   void TestSlowFirstEventIsWaitedForWhileTheEngineLives() {
     AddEngines(2, [this](Wire& wire, const std::string& head) {
-      if (head.starts_with("GET /alive")) {
-        return wire.Send(Answer(200, "", ""));
-      }
       std::this_thread::sleep_for(std::chrono::milliseconds(2500));
       return Serve(wire, head, 2, 2);
     });
@@ -517,7 +572,14 @@
 
   void AddEngines(int n, const FakeTarget::Script& script) {
     for (int i = 0; i < n; ++i) {
-      AddTarget(script);
+      AddTarget([this, i, script](Wire& wire, const std::string& head) {
+        // Questions for an engine's load are no sends.
+        if (head.starts_with("GET /alive")) {
+          return wire.Send(
+              Answer(200, "", i == busy_engine_ ? "1 1" : "0 0", ""));
+        }
+        return script(wire, head);
+      });
     }
   }
 
@@ -622,6 +684,9 @@
   std::vector<std::unique_ptr<FakeTarget>> targets_;
   std::atomic<int> n_sends_ = 0;
   std::string copy_to_;
+  std::string served_by_;
+  /// The engine that says that it reads a prompt; negative: none.
+  std::atomic<int> busy_engine_ = -1;
   std::string from_copy_;
 };
 
--- a/src/forward/retry_limit.cc
+++ b/src/forward/retry_limit.cc
@@ -45,7 +45,9 @@
                            base::Millis now) {
   Counts& counts = services_[service];
   Expire(&counts, now);
-  const double share = use == RetryUse::kImprove ? options_.improve_share : 1.0;
+  // Rescues draw on the pool when there is one.
+  const bool is_shared = use == RetryUse::kImprove && !is_pooled_;
+  const double share = is_shared ? options_.improve_share : 1.0;
   if (static_cast<double>(counts.retries.size()) + 1 <=
       LimitOf(counts) * share) {
     counts.retries.push_back(now);
--- a/src/forward/retry_limit.h
+++ b/src/forward/retry_limit.h
@@ -27,7 +27,8 @@
   /// Borrowed sends are made within this time or not at all, so that they fall
   /// into the window in which the peer counts them.
   base::Millis borrowed_life{1000};
-  /// Part of the limit that kImprove may use; the rest is kept for rescues.
+  /// Part of the limit that kImprove may use without a pool; the rest is kept
+  /// for rescues.
   double improve_share = 0.6;
   /// Part of what a request adds to the limit that this instance gives to the
   /// shared pool while it has one.
--- a/src/forward/retry_limit_test.cc
+++ b/src/forward/retry_limit_test.cc
@@ -48,6 +48,12 @@
     }
     EXPECT_EQ(6, n);
     EXPECT(limit.TakeRetry(kService, RetryUse::kRescue, {1}));
+    // Rescues need no room here while there is a pool.
+    limit.SetPooled(true);
+    while (limit.TakeRetry(kService, RetryUse::kImprove, {2})) {
+      ++n;
+    }
+    EXPECT_EQ(9, n);
   }
 
   void TestBorrowedSendsRunOut() {
