Pass over engines that do not answer before a stream is placed

Cause (found in reading): when none of the three engines asked answered, as after the crash of a domain, any engine was chosen, one of those three first; with no engine at all the request waited 60 ms before it was refused.

Change: those that did not answer come last; with no engine the refusal is at once. TestEnginesThatDoNotAnswerAreTriedLast was not run against the old code.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -282,12 +282,18 @@
     PlacementRequest wanted = WantedPlacement();
     wanted.avoided_domain = lost_domain_;
     if (engine_ != nullptr && route_->is_stream) {
-      wanted.only = co_await AskEngines<Names>(
-          forwarder_, forwarder_->board.Rank(wanted, kSurveyed, now));
+      const auto asked = forwarder_->board.Rank(wanted, kSurveyed, now);
+      wanted.only = co_await AskEngines<Names>(forwarder_, asked);
+      if (wanted.only.empty()) {
+        // Any other engine is more likely to live.
+        for (const Placement& it : asked) {
+          wanted.excluded.insert(it.id);
+        }
+      }
     }
     std::optional<Placement> placement =
         forwarder_->board.Choose(wanted, Clock::Now());
-    if (!placement && !excluded_.empty() &&
+    if (!placement && !wanted.excluded.empty() &&
         route_->repeatability == catalog::Repeatability::kResumable) {
       // Any target that is left is better than none.
       wanted.excluded.clear();
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -203,6 +203,7 @@
   CPPUNIT_TEST(TestStreamGoesOnAfterALoss);
   CPPUNIT_TEST(TestStreamGoesOnFromACopy);
   CPPUNIT_TEST(TestEngineThatReadsAPromptIsPassedOver);
+  CPPUNIT_TEST(TestEnginesThatDoNotAnswerAreTriedLast);
   CPPUNIT_TEST(TestLostStreamWaitsForARepeatedSend);
   CPPUNIT_TEST(TestStreamIsCutWhenNoRepeatedSendComes);
   CPPUNIT_TEST(TestSilentEngineIsLeft);
@@ -435,6 +436,20 @@
     EXPECT_EQ(std::string("t1"), served_by_);
   }
 
+  void TestEnginesThatDoNotAnswerAreTriedLast() {
+    n_mute_engines_ = 3;
+    AddEngines(4, [this](Wire& wire, const std::string& head) {
+      served_by_ = FieldOf(head, "Target-Id");
+      return Serve(wire, head, 1, 1);
+    });
+    for (int i = 0; i < 6; ++i) {
+      EXPECT_EQ(std::string("1,end"),
+                EventsOf(ReadStream(fmt::format("r{}", i),
+                                    fmt::format("Prompt: p{}\r\n", i))));
+      EXPECT_EQ(std::string("t3"), served_by_);
+    }
+  }
+
   void TestLostStreamWaitsForARepeatedSend() {
     AddEngines(3, [this](Wire& wire, const std::string& head) {
       return Serve(wire, head, 6, 3);
@@ -574,6 +589,10 @@
     for (int i = 0; i < n; ++i) {
       AddTarget([this, i, script](Wire& wire, const std::string& head) {
         // Questions for an engine's load are no sends.
+        if (head.starts_with("GET /alive") && i < n_mute_engines_) {
+          wire.ClosesWithin(kShortMs);
+          return false;
+        }
         if (head.starts_with("GET /alive")) {
           return wire.Send(
               Answer(200, "", i == busy_engine_ ? "1 1" : "0 0", ""));
@@ -687,6 +706,8 @@
   std::string served_by_;
   /// The engine that says that it reads a prompt; negative: none.
   std::atomic<int> busy_engine_ = -1;
+  /// As many engines, the first ones, do not answer questions.
+  std::atomic<int> n_mute_engines_ = 0;
   std::string from_copy_;
 };
 
--- a/src/forward/survey.h
+++ b/src/forward/survey.h
@@ -32,6 +32,9 @@
 net::asio::awaitable<std::set<std::string>> AskEngines(
     Forwarder* forwarder,
     std::vector<Placement> engines) {
+  if (engines.empty()) {
+    co_return std::set<std::string>();
+  }
   struct State {
     explicit State(const net::asio::any_io_executor& executor)
         : all_answered(executor) {}
