--- a/src/gateway/retry_share.cc
+++ b/src/gateway/retry_share.cc
@@ -34,6 +34,7 @@
   std::sort(ranked.begin(), ranked.end());
   ranked.resize(std::min(ranked.size(), kPoolHolders));
   std::vector<std::string> holders;
+  holders.reserve(ranked.size());
   for (auto& it : ranked) {
     holders.push_back(std::move(it.second));
   }
