--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -38,8 +38,10 @@
   std::string store;
   /// Instances of a group of up to this size read the targets from the table
   /// service by themselves; in a larger one two in each failure domain read
-  /// for all, so that its load does not grow with the group.
-  size_t direct_group = 16;
+  /// for all, so that its load does not grow with the group. FIXME: a follower
+  /// once sent to a target 3.8 s after it had said that it leaves; readers are
+  /// off for present groups until that is traced (docs/FINDINGS.md).
+  size_t direct_group = 400;
   /// From the request to stop until the process is killed.
   base::Millis stop_grace{8000};
   RetrySettings retries;
