--- a/src/forward/retry_limit_test.cc
+++ b/src/forward/retry_limit_test.cc
@@ -102,7 +102,6 @@
   // Plays the heaviest loss: 60 instances take 76 requests a second unevenly,
   // then those of one failure domain lose 15 streams each at once. All of
   // them together have enough repeated sends; so each stream must get one.
-  // Without the pool two in five are cut.
   void TestCommonLossIsServedFromThePool() {
     constexpr size_t kInstances = 60;
     constexpr size_t kStruck = 20;
