Log each lost target and what counts against the request it was sent

Cause: the hypotheses on the crashing request cannot be told apart. A recorded loss, its source and whether it counts left no line, and a report to peers carried neither the process nor the service of the target.

Change: TargetLoss names process, service and failure domain, from the exchange to peers; each recorded loss is logged with what counts against the request. FailureDomainOf is no longer needed. No decision changes.

--- a/src/forward/crashing_request_tracker.cc
+++ b/src/forward/crashing_request_tracker.cc
@@ -5,14 +5,13 @@
 namespace daisypond::forward {
 
 void CrashingRequestTracker::OnTargetLost(uint64_t content_hash,
-                                          const std::string& target,
-                                          const std::string& failure_domain,
+                                          const TargetLoss& target,
                                           base::Millis now) {
-  const Loss loss{target, failure_domain, now};
+  const Loss loss{target, now};
   recent_losses_.push_back(loss);
   if (content_hash != 0) {
     RequestLosses& losses = losses_by_content_[content_hash];
-    losses.targets[target] = loss;
+    losses.targets[target.process.id] = loss;
     losses.last_lost_at = now;
   }
   RemoveExpired(now);
@@ -21,18 +20,18 @@
 bool CrashingRequestTracker::IsIsolated(const Loss& loss) const {
   return std::none_of(
       recent_losses_.begin(), recent_losses_.end(), [&](const Loss& it) {
-        return it.failure_domain == loss.failure_domain &&
-               it.target != loss.target &&
+        return it.target.failure_domain == loss.target.failure_domain &&
+               it.target.process.id != loss.target.process.id &&
                it.lost_at < loss.lost_at + kCorrelatedLossWindow &&
                loss.lost_at < it.lost_at + kCorrelatedLossWindow;
       });
 }
 
-bool CrashingRequestTracker::IsBlocked(uint64_t content_hash,
-                                       base::Millis now) const {
+size_t CrashingRequestTracker::CountedLosses(uint64_t content_hash,
+                                             base::Millis now) const {
   const auto it = losses_by_content_.find(content_hash);
   if (it == losses_by_content_.end()) {
-    return false;
+    return 0;
   }
   const auto n =
       std::count_if(it->second.targets.begin(), it->second.targets.end(),
@@ -40,7 +39,12 @@
                       return now - lost.second.lost_at < kRetentionPeriod &&
                              IsIsolated(lost.second);
                     });
-  return static_cast<size_t>(n) >= kTargetLossesUntilBlocked;
+  return static_cast<size_t>(n);
+}
+
+bool CrashingRequestTracker::IsBlocked(uint64_t content_hash,
+                                       base::Millis now) const {
+  return CountedLosses(content_hash, now) >= kTargetLossesUntilBlocked;
 }
 
 void CrashingRequestTracker::RemoveExpired(base::Millis now) {
--- a/src/forward/crashing_request_tracker.h
+++ b/src/forward/crashing_request_tracker.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "forward/target_loss.h"
 
 namespace daisypond::forward {
 
@@ -35,11 +36,10 @@
   /// use; the oldest entries are removed first.
   static constexpr size_t kMaximumTrackedRequests = 2000;
 
-  /// Records the loss of `target`. `content_hash` identifies a request that was
+  /// Records the loss of a target. `content_hash` identifies a request that was
   /// sent to the target and not answered yet; it is zero when there is none.
   void OnTargetLost(uint64_t content_hash,
-                    const std::string& target,
-                    const std::string& failure_domain,
+                    const TargetLoss& target,
                     base::Millis now);
 
   /// Clears the losses counted against a request. A request that was answered
@@ -52,10 +52,12 @@
   /// and it must not be sent any more.
   bool IsBlocked(uint64_t content_hash, base::Millis now) const;
 
+  /// Returns the number of lost targets that count against the request.
+  size_t CountedLosses(uint64_t content_hash, base::Millis now) const;
+
  private:
   struct Loss {
-    std::string target;
-    std::string failure_domain;
+    TargetLoss target;
     base::Millis lost_at;
   };
 
--- a/src/forward/crashing_request_tracker_test.cc
+++ b/src/forward/crashing_request_tracker_test.cc
@@ -10,6 +10,10 @@
 
 using base::Millis;
 
+TargetLoss Lost(const std::string& id, const std::string& failure_domain) {
+  return {{id, 1}, "s", failure_domain};
+}
+
 SUITE(CrashingRequestTrackerTest) {
   CPPUNIT_TEST_SUITE(CrashingRequestTrackerTest);
   CPPUNIT_TEST(TestThreeLostTargetsBlockTheRequest);
@@ -23,10 +27,10 @@
  public:
   void TestThreeLostTargetsBlockTheRequest() {
     CrashingRequestTracker tracker;
-    tracker.OnTargetLost(1, "a", "d0", {0});
-    tracker.OnTargetLost(1, "b", "d1", {10});
+    tracker.OnTargetLost(1, Lost("a", "d0"), {0});
+    tracker.OnTargetLost(1, Lost("b", "d1"), {10});
     EXPECT(!tracker.IsBlocked(1, {20}));
-    tracker.OnTargetLost(1, "c", "d2", {20});
+    tracker.OnTargetLost(1, Lost("c", "d2"), {20});
     EXPECT(tracker.IsBlocked(1, {30}));
     EXPECT(!tracker.IsBlocked(2, {30}));
   }
@@ -34,7 +38,7 @@
   void TestRepeatedLossOfOneTargetCountsOnce() {
     CrashingRequestTracker tracker;
     for (int i = 0; i < 5; ++i) {
-      tracker.OnTargetLost(1, "a", "d0", {i});
+      tracker.OnTargetLost(1, Lost("a", "d0"), {i});
     }
     EXPECT(!tracker.IsBlocked(1, {10}));
   }
@@ -42,7 +46,7 @@
   void TestAnswerClearsLosses() {
     CrashingRequestTracker tracker;
     for (const char* it : {"a", "b", "c"}) {
-      tracker.OnTargetLost(1, it, std::string("d") + it, {0});
+      tracker.OnTargetLost(1, Lost(it, std::string("d") + it), {0});
     }
     tracker.OnRequestAnswered(1);
     EXPECT(!tracker.IsBlocked(1, {1}));
@@ -55,8 +59,9 @@
     CrashingRequestTracker tracker;
     for (int64_t crash = 0; crash < 3; ++crash) {
       for (int engine = 0; engine < 8; ++engine) {
-        tracker.OnTargetLost(1, "e" + std::to_string(crash * 8 + engine),
-                             "d" + std::to_string(crash),
+        tracker.OnTargetLost(1,
+                             Lost("e" + std::to_string(crash * 8 + engine),
+                                  "d" + std::to_string(crash)),
                              {crash * 6500 + engine * 40});
       }
     }
@@ -66,7 +71,7 @@
   void TestLossesExpireAfterRetentionPeriod() {
     CrashingRequestTracker tracker;
     for (const char* it : {"a", "b", "c"}) {
-      tracker.OnTargetLost(1, it, std::string("d") + it, {0});
+      tracker.OnTargetLost(1, Lost(it, std::string("d") + it), {0});
     }
     EXPECT(!tracker.IsBlocked(1, CrashingRequestTracker::kRetentionPeriod));
   }
@@ -76,7 +81,7 @@
     for (uint64_t i = 0;
          i < CrashingRequestTracker::kMaximumTrackedRequests + 100; ++i) {
       for (const char* it : {"a", "b", "c"}) {
-        tracker.OnTargetLost(i, it, std::string("d") + it,
+        tracker.OnTargetLost(i, Lost(it, std::string("d") + it),
                              {static_cast<int64_t>(i)});
       }
     }
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -480,11 +480,10 @@
         route_->is_stream && is_connection_lost && !HasStreamBegun() &&
         result.outcome == SendOutcome::kUnknown;
     const uint64_t suspect_hash = may_have_crashed_target ? content_hash_ : 0;
-    forwarder_->crashing_requests.OnTargetLost(suspect_hash, placement.id,
-                                               placement.failure_domain, now);
-    if (forwarder_->on_target_lost) {
-      forwarder_->on_target_lost(placement.id, suspect_hash);
-    }
+    forwarder_->OnTargetLost({{placement.id, placement.started_at},
+                              service_name_,
+                              placement.failure_domain},
+                             suspect_hash, LossSource::kThisInstance);
     last_lost_domain_ = placement.failure_domain;
   }
 
@@ -1036,6 +1035,7 @@
               {{"request", request_info_.id},
                {"status", status},
                {"reason", base::kReasonNames.NameOf(reason)},
+               {"content", content_hash_},
                {"route", route_ == nullptr ? "" : route_->name},
                {"workspace", workspace_},
                {"version", catalog_.configuration == nullptr
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/log.h"
 
 namespace daisypond::forward {
 
@@ -41,6 +42,25 @@
   }
 }
 
+void Forwarder::OnTargetLost(const TargetLoss& target,
+                             uint64_t content_hash,
+                             LossSource source) {
+  const base::Millis now = base::Clock::Now();
+  crashing_requests.OnTargetLost(content_hash, target, now);
+  base::Log(base::LogLevel::kInfo, "target_lost",
+            {{"target", target.process.id},
+             {"started_at", target.process.started_at},
+             {"service", target.service},
+             {"domain", target.failure_domain},
+             {"source", kLossSourceNames.NameOf(source)},
+             {"content", content_hash},
+             {"counted", crashing_requests.CountedLosses(content_hash, now)},
+             {"blocked", crashing_requests.IsBlocked(content_hash, now)}});
+  if (source == LossSource::kThisInstance && on_target_lost) {
+    on_target_lost(target, content_hash);
+  }
+}
+
 void Forwarder::OnRetryWaitBegun(const std::string& service) {
   ++retry_borrow_states[service].n_waiting;
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -7,14 +7,23 @@
 #include <string>
 
 #include "base/metrics.h"
+#include "base/name_table.h"
 #include "catalog/catalog.h"
 #include "forward/connection_pool.h"
 #include "forward/crashing_request_tracker.h"
 #include "forward/retry_limit.h"
+#include "forward/target_loss.h"
 #include "forward/target_selector.h"
 
 namespace daisypond::forward {
 
+/// Who found a target lost.
+enum class LossSource : uint8_t { kThisInstance, kPeer };
+
+inline constexpr base::NameTable<LossSource, 2> kLossSourceNames(
+    "this_instance",
+    "peer");
+
 struct ForwarderOptions {
   /// Name of this instance.
   std::string instance;
@@ -42,6 +51,12 @@
   /// unused than requests wait for retry budget.
   void BorrowMissingRetries(const std::string& service);
 
+  /// Records the loss of a target, found by this instance or reported by a
+  /// peer. `content_hash` as for `on_target_lost`.
+  void OnTargetLost(const TargetLoss& target,
+                    uint64_t content_hash,
+                    LossSource source);
+
   /// False when the catalog is incomplete or the process is stopping.
   bool IsReady() const { return catalog.IsComplete() && !is_stopping; }
 
@@ -53,10 +68,10 @@
   ConnectionPool connection_pool;
   RetryLimit retry_limit;
   CrashingRequestTracker crashing_requests;
-  /// Called when the connection to a target broke or the target was unreachable
-  /// or silent. `content_hash` is the hash of a request that may have crashed
-  /// the target, or zero if there is none.
-  std::function<void(const std::string& target, uint64_t content_hash)>
+  /// Called when this instance has found a target lost. `content_hash` is the
+  /// hash of a request that may have crashed the target, or zero if there is
+  /// none.
+  std::function<void(const TargetLoss& target, uint64_t content_hash)>
       on_target_lost;
   /// Borrows retries for a service from the shared pool. `done` is called once
   /// with the number granted.
--- a/src/forward/target_selector.cc
+++ b/src/forward/target_selector.cc
@@ -425,11 +425,6 @@
   return it == states_.end() || it->second.is_superseded;
 }
 
-std::string TargetSelector::FailureDomainOf(const std::string& id) const {
-  const auto it = states_.find(id);
-  return it == states_.end() ? "" : it->second.target.failure_domain;
-}
-
 Millis TargetSelector::LastHeardAt(const std::string& id) const {
   const auto it = states_.find(id);
   return it == states_.end() ? Millis{INT64_MIN / 2} : it->second.last_heard_at;
--- a/src/forward/target_selector.h
+++ b/src/forward/target_selector.h
@@ -172,9 +172,6 @@
   /// at its address.
   bool IsSuperseded(const std::string& id) const;
 
-  /// The target's failure domain; empty when the target is not in the catalog.
-  std::string FailureDomainOf(const std::string& id) const;
-
   /// Returns when the target last sent any data, or a time far in the past if
   /// it never did.
   base::Millis LastHeardAt(const std::string& id) const;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -63,7 +63,7 @@
             });
       });
     };
-    forwarder_.on_target_lost = [this](const std::string& target,
+    forwarder_.on_target_lost = [this](const forward::TargetLoss& target,
                                        uint64_t content_hash) {
       asio::post(control_, [this, target, content_hash] {
         peer_link_->ReportLostTarget(target, content_hash);
@@ -327,14 +327,13 @@
           it, is_authoritative ? PeerTargetsPolicy::kAcceptAlways
                                : PeerTargetsPolicy::kAcceptIfNewer);
     };
-    callbacks.on_target_lost = [this](const std::string& target,
+    callbacks.on_target_lost = [this](const forward::TargetLoss& target,
                                       uint64_t content_hash) {
       asio::post(traffic_, [this, target, content_hash] {
-        const base::Millis now = base::Clock::Now();
-        forwarder_.selector.OnPeerReportedFailure(target, now);
-        forwarder_.crashing_requests.OnTargetLost(
-            content_hash, target, forwarder_.selector.FailureDomainOf(target),
-            now);
+        forwarder_.selector.OnPeerReportedFailure(target.process.id,
+                                                  base::Clock::Now());
+        forwarder_.OnTargetLost(target, content_hash,
+                                forward::LossSource::kPeer);
       });
     };
     callbacks.on_member_count = [this](size_t n) { OnMemberCount(n); };
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -123,7 +123,9 @@
   dependencies.on_report_death = [this](
                                      const peer::ReportDeathRequest& request) {
     callbacks_.on_target_lost(
-        request.target(),
+        {{request.target(), request.started_at()},
+         request.service(),
+         request.failure_domain()},
         request.victims().empty() ? 0 : request.victims(0).content_digest());
   };
   dependencies.on_lend_retries =
@@ -280,11 +282,14 @@
   callbacks_.on_catalog(catalog);
 }
 
-void PeerLink::ReportLostTarget(const std::string& target,
+void PeerLink::ReportLostTarget(const forward::TargetLoss& target,
                                 uint64_t content_hash) {
   auto peers = membership_.Table().Reachable();
   peer::ReportDeathRequest request;
-  request.set_target(target);
+  request.set_target(target.process.id);
+  request.set_started_at(target.process.started_at);
+  request.set_service(target.service);
+  request.set_failure_domain(target.failure_domain);
   if (content_hash != 0) {
     request.add_victims()->set_content_digest(content_hash);
   }
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -9,6 +9,7 @@
 
 #include "base/metrics.h"
 #include "catalog/catalog.h"
+#include "forward/target_loss.h"
 #include "gateway/catalog_source.h"
 #include "gateway/settings.h"
 #include "gateway/shared_retry_budget.h"
@@ -43,7 +44,7 @@
   /// Called when a peer reports that it has lost a target. `content_hash` is
   /// the hash of a request that may have crashed the target, or zero if there
   /// is none.
-  std::function<void(const std::string& target, uint64_t content_hash)>
+  std::function<void(const forward::TargetLoss& target, uint64_t content_hash)>
       on_target_lost;
   /// Called with the number of instances in the group, including this one,
   /// whenever that number may have changed.
@@ -108,7 +109,8 @@
   void StopServing() { server_.Shutdown(); }
 
   /// Reports a lost target to peers. Runs on the control thread.
-  void ReportLostTarget(const std::string& target, uint64_t content_hash);
+  void ReportLostTarget(const forward::TargetLoss& target,
+                        uint64_t content_hash);
 
  private:
   peer::MembershipCallbacks MakeMembershipCallbacks();
