--- a/src/forward/crashing_request_tracker_test.cc
+++ b/src/forward/crashing_request_tracker_test.cc
@@ -22,6 +22,11 @@
   CPPUNIT_TEST(TestCrashesOfWholeDomainsBlockNoRequest);
   CPPUNIT_TEST(TestLossesExpireAfterRetentionPeriod);
   CPPUNIT_TEST(TestTrackedRequestsAreBounded);
+  CPPUNIT_TEST(TestTargetThatStaysDownExcusesNoOtherLoss);
+  CPPUNIT_TEST(TestLossInAnotherServiceExcusesNoLoss);
+  CPPUNIT_TEST(TestCrashesOfARestartedTargetCountEach);
+  CPPUNIT_TEST(TestRequestThatAlwaysMeetsACommonLossIsBlocked);
+  CPPUNIT_TEST(TestBlockedRequestIsStillBlockedAfterRetentionPeriod);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -89,6 +94,59 @@
     EXPECT(tracker.IsBlocked(last, {static_cast<int64_t>(last)}));
     EXPECT(!tracker.IsBlocked(0, {static_cast<int64_t>(last)}));
   }
+
+  // Each failed connection to a target that is down reports it as lost again.
+  void TestTargetThatStaysDownExcusesNoOtherLoss() {
+    CrashingRequestTracker tracker;
+    for (int64_t at = 0; at <= 8000; at += 200) {
+      tracker.OnTargetLost(0, Lost("down", "d0"), {at});
+      if (at >= 2000 && at % 2000 == 0 && at < 8000) {
+        tracker.OnTargetLost(1, Lost("e" + std::to_string(at), "d0"),
+                             {at + 100});
+      }
+    }
+    EXPECT(tracker.IsBlocked(1, {8000}));
+  }
+
+  void TestLossInAnotherServiceExcusesNoLoss() {
+    CrashingRequestTracker tracker;
+    for (int64_t i = 0; i < 3; ++i) {
+      const std::string n = std::to_string(i);
+      tracker.OnTargetLost(0, {{"other" + n, 1}, "other", "d0"}, {i * 1000});
+      tracker.OnTargetLost(1, Lost("e" + n, "d0"), {i * 1000 + 100});
+    }
+    EXPECT(tracker.IsBlocked(1, {3000}));
+  }
+
+  void TestCrashesOfARestartedTargetCountEach() {
+    CrashingRequestTracker tracker;
+    for (int64_t i = 0; i < 3; ++i) {
+      tracker.OnTargetLost(1, {{"a", i + 1}, "s", "d0"}, {i * 5000});
+    }
+    EXPECT(tracker.IsBlocked(1, {10'000}));
+  }
+
+  // Another target of the domain crashes each time that the request crashes
+  // one.
+  void TestRequestThatAlwaysMeetsACommonLossIsBlocked() {
+    CrashingRequestTracker tracker;
+    for (int64_t i = 0; i < 5; ++i) {
+      const std::string n = std::to_string(i);
+      tracker.OnTargetLost(0, Lost("other" + n, "d0"), {i * 2000});
+      tracker.OnTargetLost(1, Lost("e" + n, "d0"), {i * 2000 + 100});
+    }
+    EXPECT(tracker.IsBlocked(1, {9000}));
+  }
+
+  void TestBlockedRequestIsStillBlockedAfterRetentionPeriod() {
+    CrashingRequestTracker tracker;
+    for (const char* it : {"a", "b", "c"}) {
+      tracker.OnTargetLost(1, Lost(it, std::string("d") + it), {0});
+    }
+    tracker.OnTargetLost(0, Lost("later", "d0"),
+                         CrashingRequestTracker::kRetentionPeriod);
+    EXPECT(tracker.IsBlocked(1, CrashingRequestTracker::kRetentionPeriod * 2));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingRequestTrackerTest);
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -126,6 +126,23 @@
     }
   }
 
+  /// Calls `callback` for each target that the instance finds lost.
+  void OnTargetLost(std::function<void(const TargetLoss&, uint64_t)> callback) {
+    std::atomic<bool> is_done = false;
+    asio::post(io_, [&] {
+      forwarder_->on_target_lost = std::move(callback);
+      is_done = true;
+    });
+    while (!is_done) {
+      std::this_thread::yield();
+    }
+  }
+
+  /// To be called on the instance's thread.
+  void ReportLossFromPeer(const TargetLoss& target, uint64_t content_hash) {
+    forwarder_->OnTargetLost(target, content_hash, LossSource::kPeer);
+  }
+
   uint16_t Port() const { return port_; }
 
   base::Metrics metrics;
@@ -216,6 +233,11 @@
   CPPUNIT_TEST(TestStoppingInstanceRefusesRequestItCannotFinish);
   CPPUNIT_TEST(TestReplacedTargetGetsNoFurtherRequests);
   CPPUNIT_TEST(TestRequestThatCrashesTargetsIsNoLongerSent);
+  CPPUNIT_TEST(TestRequestThatCrashesTargetsAfterFirstEventIsNoLongerSent);
+  CPPUNIT_TEST(TestRequestThatSilencesTargetsIsNoLongerSent);
+  CPPUNIT_TEST(TestCallThatCrashesTargetsIsNoLongerSent);
+  CPPUNIT_TEST(TestCrashingRequestIsRecognizedByPathWorkspaceAndBody);
+  CPPUNIT_TEST(TestRequestBlockedDuringWaitIsNotSent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -620,7 +642,108 @@
     EXPECT_EQ(n, n_sends_.load());
   }
 
+  void TestRequestThatCrashesTargetsAfterFirstEventIsNoLongerSent() {
+    AddEngines(12, [this](LoopbackConnection& connection,
+                          const std::string& header) {
+      ++n_sends_;
+      PauseBetweenLosses();
+      const std::string after = HeaderField(header, "After-Event");
+      connection.Send(MakeStreamHeader(HeaderField(header, "Request-Id")) +
+                      MakeEvent((after.empty() ? 0 : std::stoi(after)) + 1));
+      return false;
+    });
+    ExpectNoLongerSent([this](const std::string& id) { ReadStream(id, ""); });
+  }
+
+  void TestRequestThatSilencesTargetsIsNoLongerSent() {
+    n_unresponsive_engines_ = 6;
+    AddEngines(6, [this](LoopbackConnection& connection, const std::string&) {
+      ++n_sends_;
+      connection.ClosesWithin(kStreamMs);
+      return false;
+    });
+    ExpectNoLongerSent([this](const std::string& id) { ReadStream(id, ""); });
+  }
+
+  void TestCallThatCrashesTargetsIsNoLongerSent() {
+    for (int i = 0; i < 6; ++i) {
+      AddTarget([this](LoopbackConnection&, const std::string&) {
+        ++n_sends_;
+        PauseBetweenLosses();
+        return false;
+      });
+    }
+    ExpectNoLongerSent(
+        [this](const std::string&) { RequestStatus("POST", "/once/a"); });
+  }
+
+  // Callers send the request again with another prompt field, query and key of
+  // their workspace.
+  void TestCrashingRequestIsRecognizedByPathWorkspaceAndBody() {
+    AddEngines(12, [this](LoopbackConnection&, const std::string&) {
+      ++n_sends_;
+      PauseBetweenLosses();
+      return false;
+    });
+    ExpectNoLongerSent([this](const std::string& id) {
+      Caller caller(instance_->Port());
+      caller.connection->Send(fmt::format(
+          "GET /stream/a?n={0} HTTP/1.1\r\nHost: h\r\nRequest-Id: {0}\r\n"
+          "Key: {1}\r\nPrompt: {0}\r\nPatience-Ms: 700\r\n\r\n",
+          id, id.back() % 2 == 0 ? "k" : "k2"));
+      caller.connection->ReadUntil("\r\n0\r\n\r\n", kStreamMs);
+    });
+  }
+
+  void TestRequestBlockedDuringWaitIsNotSent() {
+    AddEngines(6, [this](LoopbackConnection&, const std::string&) {
+      ++n_sends_;
+      return false;
+    });
+    std::atomic<uint64_t> content_hash = 0;
+    instance_->OnTargetLost(
+        [&](const TargetLoss&, uint64_t hash) { content_hash = hash; });
+    // The retry is granted only after peers have reported further losses.
+    instance_->UseOnlyBorrowedRetries(
+        [&](const std::string&, int n, const std::function<void(int)>& done) {
+          if (content_hash != 0) {
+            for (const char* it : {"x", "y", "z"}) {
+              instance_->ReportLossFromPeer(
+                  {{it, 1}, "s", std::string("domain-of-") + it}, content_hash);
+            }
+          }
+          done(n);
+        });
+    ReadStream("r1", "");
+    EXPECT(content_hash != 0);
+    EXPECT_EQ(1, n_sends_.load());
+  }
+
  private:
+  static constexpr int kStreamMs = 8000;
+
+  /// Keeps losses far enough apart that they have no common cause.
+  static void PauseBetweenLosses() {
+    std::this_thread::sleep_for(std::chrono::milliseconds(
+        CrashingRequestTracker::kCorrelatedLossWindow.count + 50));
+  }
+
+  /// Sends a request that targets do not survive until it is blocked. Checks
+  /// that it reaches no target afterwards.
+  template <typename Send>
+  void ExpectNoLongerSent(Send send) {
+    constexpr int kRepetitions = 4;
+    for (int i = 0; i < kRepetitions; ++i) {
+      send(fmt::format("r{}", i));
+    }
+    EXPECT(n_sends_ >=
+           static_cast<int>(CrashingRequestTracker::kTargetLossesUntilBlocked));
+    const int n = n_sends_;
+    send("last0");
+    send("last1");
+    EXPECT_EQ(n, n_sends_.load());
+  }
+
   FakeTarget& AddTarget(FakeTarget::RequestHandler script) {
     targets_.push_back(std::make_unique<FakeTarget>(std::move(script)));
     Publish();
@@ -650,6 +773,7 @@
     configuration->version = 1;
     configuration->has_workspaces = true;
     configuration->workspaces["k"] = {"w", std::nullopt};
+    configuration->workspaces["k2"] = {"w", std::nullopt};
     catalog::Service service;
     service.name = "s";
     service.engine.emplace();
@@ -703,7 +827,6 @@
   std::string ReadStream(const std::string& id, const std::string& extra) {
     Caller caller(instance_->Port());
     caller.SendRequest("GET", "/stream/a", id, extra);
-    constexpr int kStreamMs = 8000;
     return caller.connection->ReadUntil("\r\n0\r\n\r\n", kStreamMs);
   }
 
