Count the loss of a target that stays down once

Callers saw: a request that crashes targets went on crashing them; the service lost target after target.

Cause: losses of other targets of a failure domain within 500 ms excuse a loss as a common cause. Each failed connection to a target that is down was recorded as a new loss, by every instance and at all its peers, so one dead target excused every later loss in its domain for as long as it was down.

Evidence: TestTargetThatStaysDownExcusesNoOtherLoss failed: with one target down, a request that three targets died under was not blocked.

Change: until 3 s have passed without a failure of the same process, it is the same loss, at the time of the first failure. Only that time is compared with other losses. Before: not blocked after three losses; after: blocked.

--- a/src/forward/crashing_request_tracker.cc
+++ b/src/forward/crashing_request_tracker.cc
@@ -7,8 +7,7 @@
 void CrashingRequestTracker::OnTargetLost(uint64_t content_hash,
                                           const TargetLoss& target,
                                           base::Millis now) {
-  const Loss loss{target, now};
-  recent_losses_.push_back(loss);
+  const Loss loss = FindOrAddLoss(target, now);
   if (content_hash != 0) {
     RequestLosses& losses = losses_by_content_[content_hash];
     losses.targets[target.process.id] = loss;
@@ -17,6 +16,22 @@
   RemoveExpired(now);
 }
 
+const CrashingRequestTracker::Loss& CrashingRequestTracker::FindOrAddLoss(
+    const TargetLoss& target,
+    base::Millis now) {
+  const auto it = std::find_if(
+      recent_losses_.rbegin(), recent_losses_.rend(), [&](const Loss& loss) {
+        return loss.target.process == target.process &&
+               now - loss.last_found_at < kSameLossPeriod;
+      });
+  if (it != recent_losses_.rend()) {
+    it->last_found_at = now;
+    return *it;
+  }
+  recent_losses_.push_back({target, now, now});
+  return recent_losses_.back();
+}
+
 bool CrashingRequestTracker::IsIsolated(const Loss& loss) const {
   return std::none_of(
       recent_losses_.begin(), recent_losses_.end(), [&](const Loss& it) {
--- a/src/forward/crashing_request_tracker.h
+++ b/src/forward/crashing_request_tracker.h
@@ -30,6 +30,9 @@
   /// Losses of different targets of a failure domain within this time of each
   /// other are attributed to a common cause and not to a request.
   static constexpr base::Millis kCorrelatedLossWindow{500};
+  /// A target that is down is found lost again with each failed connection.
+  /// Within this time of the last failure it is still the same loss.
+  static constexpr base::Millis kSameLossPeriod{3000};
   /// How long losses count. Callers retry for up to 30 s.
   static constexpr base::Millis kRetentionPeriod{45'000};
   /// Maximum number of requests, and of losses, that are stored. Limits memory
@@ -59,6 +62,8 @@
   struct Loss {
     TargetLoss target;
     base::Millis lost_at;
+    /// When the target was last found lost.
+    base::Millis last_found_at;
   };
 
   struct RequestLosses {
@@ -67,6 +72,9 @@
     base::Millis last_lost_at;
   };
 
+  /// Returns the entry of `recent_losses_` for a target that is still lost
+  /// since an earlier report, or a new entry.
+  const Loss& FindOrAddLoss(const TargetLoss& target, base::Millis now);
   /// True when no other target of the failure domain was lost at about the same
   /// time.
   bool IsIsolated(const Loss& loss) const;
