Let only losses in the same service excuse a loss

Cause: the common cause was looked for in the whole failure domain. A call that timed out at a plain service of the domain excused the loss of an engine there, which it says nothing about; calls are many times as frequent as streams.

Evidence: TestLossInAnotherServiceExcusesNoLoss failed: three losses, each with the loss of a target of another service 100 ms before, did not block.

Change: only losses of targets of the same service and domain are compared. A domain that fails as a whole still loses several targets of a service at once (TestCrashesOfWholeDomainsBlockNoRequest). Before: not blocked; after: blocked.

--- a/src/forward/crashing_request_tracker.cc
+++ b/src/forward/crashing_request_tracker.cc
@@ -35,7 +35,8 @@
 bool CrashingRequestTracker::IsIsolated(const Loss& loss) const {
   return std::none_of(
       recent_losses_.begin(), recent_losses_.end(), [&](const Loss& it) {
-        return it.target.failure_domain == loss.target.failure_domain &&
+        return it.target.service == loss.target.service &&
+               it.target.failure_domain == loss.target.failure_domain &&
                it.target.process.id != loss.target.process.id &&
                it.lost_at < loss.lost_at + kCorrelatedLossWindow &&
                loss.lost_at < it.lost_at + kCorrelatedLossWindow;
--- a/src/forward/crashing_request_tracker.h
+++ b/src/forward/crashing_request_tracker.h
@@ -16,10 +16,10 @@
 /// or silent, as observed by this instance or reported by a peer. The loss
 /// counts against a request that the target had not begun to answer. Requests
 /// are identified by a hash of their content, because callers send a failed
-/// request again, to any instance. When several targets of one failure domain
-/// are lost at about the same time, the losses count against no request, since
-/// they have a common cause. Reads no clock; all methods get the time as an
-/// argument.
+/// request again, to any instance. When several targets of a service in one
+/// failure domain are lost at about the same time, the losses count against no
+/// request, since they have a common cause. Reads no clock; all methods get the
+/// time as an argument.
 class CrashingRequestTracker {
  public:
   /// A request is blocked when this many lost targets count against it. A
@@ -27,8 +27,8 @@
   /// after the other, few requests are sent to three targets that are lost
   /// before they answer.
   static constexpr size_t kTargetLossesUntilBlocked = 3;
-  /// Losses of different targets of a failure domain within this time of each
-  /// other are attributed to a common cause and not to a request.
+  /// Losses of different targets of a service in one failure domain within this
+  /// time of each other are attributed to a common cause and not to a request.
   static constexpr base::Millis kCorrelatedLossWindow{500};
   /// A target that is down is found lost again with each failed connection.
   /// Within this time of the last failure it is still the same loss.
@@ -75,8 +75,8 @@
   /// Returns the entry of `recent_losses_` for a target that is still lost
   /// since an earlier report, or a new entry.
   const Loss& FindOrAddLoss(const TargetLoss& target, base::Millis now);
-  /// True when no other target of the failure domain was lost at about the same
-  /// time.
+  /// True when no other target of the service in the failure domain was lost at
+  /// about the same time.
   bool IsIsolated(const Loss& loss) const;
   void RemoveExpired(base::Millis now);
 
