Count each process of a target that a request crashes

Cause: losses were counted by target id. A target may restart with the id that it had, and its second and third crash under the request did not count.

Evidence: TestCrashesOfARestartedTargetCountEach failed.

Change: losses are counted by process, that is id and start time. Repeated reports of one crash still count once (TestRepeatedLossOfOneTargetCountsOnce). Before: not blocked after three crashes; after: blocked.

--- a/src/forward/crashing_request_tracker.cc
+++ b/src/forward/crashing_request_tracker.cc
@@ -10,7 +10,7 @@
   const Loss loss = FindOrAddLoss(target, now);
   if (content_hash != 0) {
     RequestLosses& losses = losses_by_content_[content_hash];
-    losses.targets[target.process.id] = loss;
+    losses.processes[target.process] = loss;
     losses.last_lost_at = now;
   }
   RemoveExpired(now);
@@ -50,7 +50,7 @@
     return 0;
   }
   const auto n =
-      std::count_if(it->second.targets.begin(), it->second.targets.end(),
+      std::count_if(it->second.processes.begin(), it->second.processes.end(),
                     [&](const auto& lost) {
                       return now - lost.second.lost_at < kRetentionPeriod &&
                              IsIsolated(lost.second);
--- a/src/forward/crashing_request_tracker.h
+++ b/src/forward/crashing_request_tracker.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <string>
 
 #include "base/clock.h"
 #include "forward/target_loss.h"
@@ -67,8 +66,8 @@
   };
 
   struct RequestLosses {
-    /// Latest loss of each target, by target id.
-    std::map<std::string, Loss> targets;
+    /// Latest loss of each process of a target.
+    std::map<TargetProcess, Loss> processes;
     base::Millis last_lost_at;
   };
 
