Keep a request that crashes targets blocked for ten minutes

Callers saw: the request that nobody answers comes again and, 45 s after the last target that it crashed, crashes three more.

Cause: losses expired after 45 s, also those of a blocked request, and whether a loss had a common cause was looked up among losses that expire as well.

Change: a blocked request is kept for ten minutes after its last loss, as in the product's own interface; a common cause is noted in the loss when it is found. TestLossesExpireAfterRetentionPeriod asserted the fault (three losses were forgotten after 45 s). It now asserts that two losses are, and TestRequestIsReleasedAfterBlockPeriod that a block ends. Before: blocked for 45 s; after: for 600 s.

--- a/src/forward/crashing_request_tracker.cc
+++ b/src/forward/crashing_request_tracker.cc
@@ -8,12 +8,12 @@
                                           const TargetLoss& target,
                                           base::Millis now) {
   const Loss loss = FindOrAddLoss(target, now);
+  RemoveExpired(now);
   if (content_hash != 0) {
     RequestLosses& losses = losses_by_content_[content_hash];
     losses.processes[target.process] = loss;
     losses.last_lost_at = now;
   }
-  RemoveExpired(now);
 }
 
 const CrashingRequestTracker::Loss& CrashingRequestTracker::FindOrAddLoss(
@@ -29,38 +29,58 @@
     return *it;
   }
   recent_losses_.push_back({target, now, now});
+  MarkCommonCauses(&recent_losses_.back());
   return recent_losses_.back();
 }
 
-bool CrashingRequestTracker::IsIsolated(const Loss& loss) const {
-  return std::none_of(
-      recent_losses_.begin(), recent_losses_.end(), [&](const Loss& it) {
-        return it.target.service == loss.target.service &&
-               it.target.failure_domain == loss.target.failure_domain &&
-               it.target.process.id != loss.target.process.id &&
-               it.lost_at < loss.lost_at + kCorrelatedLossWindow &&
-               loss.lost_at < it.lost_at + kCorrelatedLossWindow;
-      });
+void CrashingRequestTracker::MarkCommonCauses(Loss* loss) {
+  for (Loss& it : recent_losses_) {
+    if (it.target.service != loss->target.service ||
+        it.target.failure_domain != loss->target.failure_domain ||
+        it.target.process == loss->target.process ||
+        loss->lost_at - it.lost_at >= kCorrelatedLossWindow) {
+      continue;
+    }
+    loss->has_common_cause = true;
+    if (!it.has_common_cause) {
+      it.has_common_cause = true;
+      MarkCommonCauseOf(it);
+    }
+  }
 }
 
-size_t CrashingRequestTracker::CountedLosses(uint64_t content_hash,
-                                             base::Millis now) const {
-  const auto it = losses_by_content_.find(content_hash);
-  if (it == losses_by_content_.end()) {
-    return 0;
+void CrashingRequestTracker::MarkCommonCauseOf(const Loss& loss) {
+  for (auto& it : losses_by_content_) {
+    const auto found = it.second.processes.find(loss.target.process);
+    if (found != it.second.processes.end() &&
+        found->second.lost_at == loss.lost_at) {
+      found->second.has_common_cause = true;
+    }
   }
-  const auto n =
-      std::count_if(it->second.processes.begin(), it->second.processes.end(),
-                    [&](const auto& lost) {
-                      return now - lost.second.lost_at < kRetentionPeriod &&
-                             IsIsolated(lost.second);
-                    });
-  return static_cast<size_t>(n);
+}
+
+size_t CrashingRequestTracker::RequestLosses::Counted() const {
+  return static_cast<size_t>(std::count_if(
+      processes.begin(), processes.end(),
+      [](const auto& it) { return !it.second.has_common_cause; }));
+}
+
+bool CrashingRequestTracker::RequestLosses::HasExpired(base::Millis now) const {
+  const bool is_blocked = Counted() >= kTargetLossesUntilBlocked;
+  return now - last_lost_at >= (is_blocked ? kBlockPeriod : kRetentionPeriod);
+}
+
+size_t CrashingRequestTracker::CountedLosses(uint64_t content_hash) const {
+  const auto it = losses_by_content_.find(content_hash);
+  return it == losses_by_content_.end() ? 0 : it->second.Counted();
 }
 
 bool CrashingRequestTracker::IsBlocked(uint64_t content_hash,
                                        base::Millis now) const {
-  return CountedLosses(content_hash, now) >= kTargetLossesUntilBlocked;
+  const auto it = losses_by_content_.find(content_hash);
+  return it != losses_by_content_.end() &&
+         it->second.Counted() >= kTargetLossesUntilBlocked &&
+         !it->second.HasExpired(now);
 }
 
 void CrashingRequestTracker::RemoveExpired(base::Millis now) {
@@ -69,9 +89,8 @@
           recent_losses_.size() > kMaximumTrackedRequests)) {
     recent_losses_.pop_front();
   }
-  std::erase_if(losses_by_content_, [&](const auto& it) {
-    return now - it.second.last_lost_at >= kRetentionPeriod;
-  });
+  std::erase_if(losses_by_content_,
+                [&](const auto& it) { return it.second.HasExpired(now); });
   if (losses_by_content_.size() > kMaximumTrackedRequests) {
     losses_by_content_.erase(
         std::min_element(losses_by_content_.begin(), losses_by_content_.end(),
--- a/src/forward/crashing_request_tracker.h
+++ b/src/forward/crashing_request_tracker.h
@@ -32,8 +32,11 @@
   /// A target that is down is found lost again with each failed connection.
   /// Within this time of the last failure it is still the same loss.
   static constexpr base::Millis kSameLossPeriod{3000};
-  /// How long losses count. Callers retry for up to 30 s.
+  /// How long after its latest loss a request that is not blocked is tracked.
+  /// Callers retry for up to 30 s.
   static constexpr base::Millis kRetentionPeriod{45'000};
+  /// How long after its latest loss a request is blocked.
+  static constexpr base::Millis kBlockPeriod{600'000};
   /// Maximum number of requests, and of losses, that are stored. Limits memory
   /// use; the oldest entries are removed first.
   static constexpr size_t kMaximumTrackedRequests = 2000;
@@ -55,7 +58,7 @@
   bool IsBlocked(uint64_t content_hash, base::Millis now) const;
 
   /// Returns the number of lost targets that count against the request.
-  size_t CountedLosses(uint64_t content_hash, base::Millis now) const;
+  size_t CountedLosses(uint64_t content_hash) const;
 
  private:
   struct Loss {
@@ -63,20 +66,27 @@
     base::Millis lost_at;
     /// When the target was last found lost.
     base::Millis last_found_at;
+    /// Another target of the service in the failure domain was lost at about
+    /// the same time.
+    bool has_common_cause = false;
   };
 
   struct RequestLosses {
     /// Latest loss of each process of a target.
     std::map<TargetProcess, Loss> processes;
     base::Millis last_lost_at;
+
+    size_t Counted() const;
+    bool HasExpired(base::Millis now) const;
   };
 
   /// Returns the entry of `recent_losses_` for a target that is still lost
   /// since an earlier report, or a new entry.
   const Loss& FindOrAddLoss(const TargetLoss& target, base::Millis now);
-  /// True when no other target of the service in the failure domain was lost at
-  /// about the same time.
-  bool IsIsolated(const Loss& loss) const;
+  /// Sets `has_common_cause` of `loss` and of the recent losses that have a
+  /// common cause with it.
+  void MarkCommonCauses(Loss* loss);
+  void MarkCommonCauseOf(const Loss& loss);
   void RemoveExpired(base::Millis now);
 
   std::map<uint64_t, RequestLosses> losses_by_content_;
--- a/src/forward/crashing_request_tracker_test.cc
+++ b/src/forward/crashing_request_tracker_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(TestAnswerClearsLosses);
   CPPUNIT_TEST(TestCrashesOfWholeDomainsBlockNoRequest);
   CPPUNIT_TEST(TestLossesExpireAfterRetentionPeriod);
+  CPPUNIT_TEST(TestRequestIsReleasedAfterBlockPeriod);
   CPPUNIT_TEST(TestTrackedRequestsAreBounded);
   CPPUNIT_TEST(TestTargetThatStaysDownExcusesNoOtherLoss);
   CPPUNIT_TEST(TestLossInAnotherServiceExcusesNoLoss);
@@ -74,11 +75,22 @@
   }
 
   void TestLossesExpireAfterRetentionPeriod() {
+    CrashingRequestTracker tracker;
+    tracker.OnTargetLost(1, Lost("a", "d0"), {0});
+    tracker.OnTargetLost(1, Lost("b", "d1"), {0});
+    tracker.OnTargetLost(1, Lost("c", "d2"),
+                         CrashingRequestTracker::kRetentionPeriod);
+    EXPECT(!tracker.IsBlocked(1, CrashingRequestTracker::kRetentionPeriod));
+  }
+
+  void TestRequestIsReleasedAfterBlockPeriod() {
     CrashingRequestTracker tracker;
     for (const char* it : {"a", "b", "c"}) {
       tracker.OnTargetLost(1, Lost(it, std::string("d") + it), {0});
     }
-    EXPECT(!tracker.IsBlocked(1, CrashingRequestTracker::kRetentionPeriod));
+    EXPECT(
+        tracker.IsBlocked(1, CrashingRequestTracker::kBlockPeriod - Millis{1}));
+    EXPECT(!tracker.IsBlocked(1, CrashingRequestTracker::kBlockPeriod));
   }
 
   void TestTrackedRequestsAreBounded() {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -54,7 +54,7 @@
              {"domain", target.failure_domain},
              {"source", kLossSourceNames.NameOf(source)},
              {"content", content_hash},
-             {"counted", crashing_requests.CountedLosses(content_hash, now)},
+             {"counted", crashing_requests.CountedLosses(content_hash)},
              {"blocked", crashing_requests.IsBlocked(content_hash, now)}});
   if (source == LossSource::kThisInstance && on_target_lost) {
     on_target_lost(target, content_hash);
