Block a request whose losses all have a common cause

Cause: a loss with a common cause counted nothing. Where a second target of the domain is lost each time, be it under another such request, no loss counts.

Evidence: TestRequestThatAlwaysMeetsACommonLossIsBlocked failed after five losses, each beside another one.

Change: losses with one common cause count once, and five such events block the request: two sends after the third loss. A request that is on all engines of three domains that crash in turn is still sent (TestCrashesOfWholeDomainsBlockNoRequest). Before: never blocked; after: after five.

--- a/src/forward/crashing_request_tracker.cc
+++ b/src/forward/crashing_request_tracker.cc
@@ -1,6 +1,9 @@
 #include "forward/crashing_request_tracker.h"
 
 #include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace daisypond::forward {
 
@@ -59,27 +62,51 @@
   }
 }
 
-size_t CrashingRequestTracker::RequestLosses::Counted() const {
-  return static_cast<size_t>(std::count_if(
-      processes.begin(), processes.end(),
-      [](const auto& it) { return !it.second.has_common_cause; }));
+LossCount CrashingRequestTracker::RequestLosses::Count() const {
+  LossCount count;
+  // Times of the losses with a common cause, by service and failure domain.
+  std::map<std::pair<std::string, std::string>, std::vector<base::Millis>>
+      correlated;
+  for (const auto& it : processes) {
+    const Loss& loss = it.second;
+    if (loss.has_common_cause) {
+      correlated[{loss.target.service, loss.target.failure_domain}].push_back(
+          loss.lost_at);
+    } else {
+      ++count.isolated;
+    }
+  }
+  count.events = count.isolated;
+  for (auto& it : correlated) {
+    std::sort(it.second.begin(), it.second.end());
+    base::Millis previous{INT64_MIN / 2};
+    for (const base::Millis lost_at : it.second) {
+      count.events += lost_at - previous >= kCorrelatedLossWindow ? 1 : 0;
+      previous = lost_at;
+    }
+  }
+  return count;
+}
+
+bool CrashingRequestTracker::RequestLosses::IsBlocked() const {
+  const LossCount count = Count();
+  return count.isolated >= kTargetLossesUntilBlocked ||
+         count.events >= kLossEventsUntilBlocked;
 }
 
 bool CrashingRequestTracker::RequestLosses::HasExpired(base::Millis now) const {
-  const bool is_blocked = Counted() >= kTargetLossesUntilBlocked;
-  return now - last_lost_at >= (is_blocked ? kBlockPeriod : kRetentionPeriod);
+  return now - last_lost_at >= (IsBlocked() ? kBlockPeriod : kRetentionPeriod);
 }
 
-size_t CrashingRequestTracker::CountedLosses(uint64_t content_hash) const {
+LossCount CrashingRequestTracker::CountLosses(uint64_t content_hash) const {
   const auto it = losses_by_content_.find(content_hash);
-  return it == losses_by_content_.end() ? 0 : it->second.Counted();
+  return it == losses_by_content_.end() ? LossCount() : it->second.Count();
 }
 
 bool CrashingRequestTracker::IsBlocked(uint64_t content_hash,
                                        base::Millis now) const {
   const auto it = losses_by_content_.find(content_hash);
-  return it != losses_by_content_.end() &&
-         it->second.Counted() >= kTargetLossesUntilBlocked &&
+  return it != losses_by_content_.end() && it->second.IsBlocked() &&
          !it->second.HasExpired(now);
 }
 
--- a/src/forward/crashing_request_tracker.h
+++ b/src/forward/crashing_request_tracker.h
@@ -10,15 +10,23 @@
 
 namespace daisypond::forward {
 
+/// The losses that count against a request.
+struct LossCount {
+  /// Losses without a common cause.
+  size_t isolated = 0;
+  /// All losses; those with the same common cause count once.
+  size_t events = 0;
+};
+
 /// Blocks requests that are suspected to crash the targets they are sent to. A
 /// target counts as lost when its connection breaks or when it is unreachable
 /// or silent, as observed by this instance or reported by a peer. The loss
 /// counts against a request that the target had not begun to answer. Requests
 /// are identified by a hash of their content, because callers send a failed
 /// request again, to any instance. When several targets of a service in one
-/// failure domain are lost at about the same time, the losses count against no
-/// request, since they have a common cause. Reads no clock; all methods get the
-/// time as an argument.
+/// failure domain are lost at about the same time, the losses have a common
+/// cause; together they count as one loss and as weaker evidence. Reads no
+/// clock; all methods get the time as an argument.
 class CrashingRequestTracker {
  public:
   /// A request is blocked when this many lost targets count against it. A
@@ -26,8 +34,11 @@
   /// after the other, few requests are sent to three targets that are lost
   /// before they answer.
   static constexpr size_t kTargetLossesUntilBlocked = 3;
+  /// A request is also blocked when this many losses count against it, of which
+  /// those with the same common cause count once.
+  static constexpr size_t kLossEventsUntilBlocked = 5;
   /// Losses of different targets of a service in one failure domain within this
-  /// time of each other are attributed to a common cause and not to a request.
+  /// time of each other are attributed to a common cause.
   static constexpr base::Millis kCorrelatedLossWindow{500};
   /// A target that is down is found lost again with each failed connection.
   /// Within this time of the last failure it is still the same loss.
@@ -53,12 +64,12 @@
     losses_by_content_.erase(content_hash);
   }
 
-  /// True when kTargetLossesUntilBlocked lost targets count against the request
-  /// and it must not be sent any more.
+  /// True when enough lost targets count against the request; it must not be
+  /// sent any more.
   bool IsBlocked(uint64_t content_hash, base::Millis now) const;
 
-  /// Returns the number of lost targets that count against the request.
-  size_t CountedLosses(uint64_t content_hash) const;
+  /// Returns the losses that count against the request.
+  LossCount CountLosses(uint64_t content_hash) const;
 
  private:
   struct Loss {
@@ -76,7 +87,8 @@
     std::map<TargetProcess, Loss> processes;
     base::Millis last_lost_at;
 
-    size_t Counted() const;
+    LossCount Count() const;
+    bool IsBlocked() const;
     bool HasExpired(base::Millis now) const;
   };
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -47,6 +47,7 @@
                              LossSource source) {
   const base::Millis now = base::Clock::Now();
   crashing_requests.OnTargetLost(content_hash, target, now);
+  const LossCount count = crashing_requests.CountLosses(content_hash);
   base::Log(base::LogLevel::kInfo, "target_lost",
             {{"target", target.process.id},
              {"started_at", target.process.started_at},
@@ -54,7 +55,8 @@
              {"domain", target.failure_domain},
              {"source", kLossSourceNames.NameOf(source)},
              {"content", content_hash},
-             {"counted", crashing_requests.CountedLosses(content_hash)},
+             {"isolated_losses", count.isolated},
+             {"loss_events", count.events},
              {"blocked", crashing_requests.IsBlocked(content_hash, now)}});
   if (source == LossSource::kThisInstance && on_target_lost) {
     on_target_lost(target, content_hash);
