Recognize a request that comes again by path, workspace and body

Callers saw: a request that crashes targets was taken for a new one when it came again with another prompt field, another key of its workspace or another query, and crashed three more targets each time.

Cause: the hash of a request's content covered the query, the API key and the prompt field. Only path, caller and body are promised to stay the same.

Change: the hash covers the path without query, the workspace (the key where there are no workspaces) and the body. Streams of the tests ask for the connection to be closed, so that they end with the answer instead of a read timeout.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -132,8 +132,9 @@
     }
     service_name_ = ChooseService();
     content_hash_ =
-        base::Hash(request_.target + '\n' + request_info_.api_key + '\n' +
-                   request_info_.prompt + '\n' + request_.body);
+        base::Hash(std::string(PathWithoutQuery(request_.target)) + '\n' +
+                   (workspace_.empty() ? request_info_.api_key : workspace_) +
+                   '\n' + request_.body);
     send_tracker_.emplace(route_->repeatability, route_->maximum_targets);
     last_received_event_ = request_info_.last_event_id.value_or(0);
     last_written_event_ = last_received_event_;
@@ -1055,7 +1056,7 @@
   const catalog::Route* route_ = nullptr;
   const catalog::EngineTraits* engine_traits_ = nullptr;
   std::string service_name_;
-  /// Equal for requests with the same request target, API key, prompt and body.
+  /// Equal for requests of one workspace with the same path and body.
   uint64_t content_hash_ = 0;
   std::string workspace_;
   std::optional<int> priority_;
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -689,7 +689,7 @@
       Caller caller(instance_->Port());
       caller.connection->Send(fmt::format(
           "GET /stream/a?n={0} HTTP/1.1\r\nHost: h\r\nRequest-Id: {0}\r\n"
-          "Key: {1}\r\nPrompt: {0}\r\nPatience-Ms: 700\r\n\r\n",
+          "Key: {1}\r\nPrompt: {0}\r\nConnection: close\r\n\r\n",
           id, id.back() % 2 == 0 ? "k" : "k2"));
       caller.connection->ReadUntil("\r\n0\r\n\r\n", kStreamMs);
     });
@@ -826,7 +826,7 @@
 
   std::string ReadStream(const std::string& id, const std::string& extra) {
     Caller caller(instance_->Port());
-    caller.SendRequest("GET", "/stream/a", id, extra);
+    caller.SendRequest("GET", "/stream/a", id, "Connection: close\r\n" + extra);
     return caller.connection->ReadUntil("\r\n0\r\n\r\n", kStreamMs);
   }
 
