Count each lost target that a request may have crashed

Callers saw: calls that crash targets, and streams whose target falls silent or dies with the first event, were sent again without end.

Cause: a loss counted only if the connection of a stream broke before the first event of the whole exchange. A silent target, a call, a run that dies just after its first event and every later run of a stream that has begun did not count.

Change: a loss counts if the send had delivered no event, or the first one less than a second before. A call that was answered clears the losses, as a stream does. A call without a body that crashes targets is still not held back.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -423,6 +423,7 @@
     ++n_send_attempts_;
     const Millis began_at = Clock::Now();
     const int64_t first_event = last_received_event_;
+    run_began_at_.reset();
     StartCopyFor(placement);
     LogSend(placement, reason);
     forwarder_->metrics->Add(base::Counter::kSends);
@@ -477,10 +478,8 @@
     } else {
       forwarder_->selector.OnFailure(placement.id, now);
     }
-    const bool may_have_crashed_target =
-        route_->is_stream && is_connection_lost && !HasStreamBegun() &&
-        result.outcome == SendOutcome::kUnknown;
-    const uint64_t suspect_hash = may_have_crashed_target ? content_hash_ : 0;
+    const uint64_t suspect_hash =
+        MayHaveCrashedTarget(result, now) ? content_hash_ : 0;
     forwarder_->OnTargetLost({{placement.id, placement.started_at},
                               service_name_,
                               placement.failure_domain},
@@ -488,6 +487,22 @@
     last_lost_domain_ = placement.failure_domain;
   }
 
+  /// True when the send may have crashed the target: the target was lost before
+  /// it ran the request, or soon after it had begun to.
+  bool MayHaveCrashedTarget(const SendResult& result, Millis now) const {
+    if (result.outcome != SendOutcome::kUnknown ||
+        (run_began_at_ && now - *run_began_at_ >= kCrashAttributionPeriod)) {
+      return false;
+    }
+    if (route_->is_stream) {
+      return true;
+    }
+    // Calls without a body are too much alike: one path may serve all lookups
+    // of a workspace.
+    return result.reason == base::Reason::kTargetBroken &&
+           !request_.body.empty();
+  }
+
   bool MayCopyRuns() const {
     return engine_traits_ != nullptr && route_->is_stream &&
            route_->repeatability == catalog::Repeatability::kResumable;
@@ -807,6 +822,7 @@
       text = fallback_answer_;
     } else {
       forwarder_->selector.OnSuccess(placement.id, Clock::Now());
+      forwarder_->crashing_requests.OnRequestAnswered(content_hash_);
     }
     active_connection_.reset();
     LogAnswer(code, base::Reason::kNone);
@@ -868,6 +884,7 @@
         text += it.bytes;
         ++n_events;
         has_event = true;
+        run_began_at_ = run_began_at_.value_or(now);
         forwarder_->metrics->Add(base::Counter::kEventsRelayed);
       }
       if (!text.empty() && MayCopyRuns() && engine_traits_->supports_kv_copy) {
@@ -1099,6 +1116,8 @@
   int64_t last_received_event_ = 0;
   /// Id of the last event written to the caller.
   int64_t last_written_event_ = 0;
+  /// When the send in progress delivered its first event.
+  std::optional<Millis> run_began_at_;
   bool is_header_written_ = false;
   Millis last_write_at_;
   Millis longest_gap_;
