Check again before a send whether a request is blocked

Callers saw: a request that waited for a retry or for a target while other instances found that it crashes targets was still sent.

Cause: the check stood before the waits, which may take seconds.

Evidence: TestRequestBlockedDuringWaitIsNotSent failed: two sends, one of them after three losses were known.

Change: a second check right before the send. Before: 2 sends; after: 1.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -208,8 +208,7 @@
       if (!send_tracker_->MaySendAgain()) {
         break;
       }
-      if (forwarder_->crashing_requests.IsBlocked(content_hash_,
-                                                  Clock::Now())) {
+      if (IsBlocked()) {
         reason = base::Reason::kCondemned;
         break;
       }
@@ -232,6 +231,12 @@
                      : reason;
         break;
       }
+      // The request may have been blocked while it waited for a retry or a
+      // target.
+      if (IsBlocked()) {
+        reason = base::Reason::kCondemned;
+        break;
+      }
       const SendResult result = co_await SendTo(*placement, reason);
       if (result.finished) {
         co_return *result.finished;
@@ -244,6 +249,11 @@
     co_return co_await FailRequest(reason);
   }
 
+  /// True when the request is suspected to crash targets.
+  bool IsBlocked() const {
+    return forwarder_->crashing_requests.IsBlocked(content_hash_, Clock::Now());
+  }
+
   /// True when the request may wait until a target becomes available. Only a
   /// stream that has begun waits, and only until ResumeDeadline().
   bool MayWaitForTarget() const {
