Tell peers again of requests that crash targets

Callers saw: after instances had restarted, or links between them had been cut, a request that crashes targets crashed three more at each such instance.

Cause: an instance reports a lost target once, without an acknowledgement, to the peers of that moment. Who starts later or was out of reach never learns it.

Change: membership messages carry the up to 32 requests with two losses or more, with the age of each loss, both ways. A new instance has them with its first answer from a peer, others within a round of probes. An answer to the request is told as well and clears the losses at peers.

--- a/src/forward/crashing_request_tracker.cc
+++ b/src/forward/crashing_request_tracker.cc
@@ -110,6 +110,71 @@
          !it->second.HasExpired(now);
 }
 
+void CrashingRequestTracker::OnRequestAnswered(uint64_t content_hash,
+                                               base::Millis now) {
+  const auto it = losses_by_content_.find(content_hash);
+  if (it != losses_by_content_.end()) {
+    it->second.processes.clear();
+    it->second.answered_at = now;
+  }
+}
+
+void CrashingRequestTracker::OnSuspectedByPeer(const SuspectedRequest& request,
+                                               base::Millis now) {
+  RequestLosses losses;
+  const auto known = losses_by_content_.find(request.content_hash);
+  if (known != losses_by_content_.end()) {
+    losses = known->second;
+  }
+  if (request.answer_age) {
+    losses.answered_at = std::max(losses.answered_at.value_or(base::Millis{0}),
+                                  now - *request.answer_age);
+  }
+  for (const SuspectedRequest::Loss& it : request.losses) {
+    const base::Millis lost_at = now - it.age;
+    losses.processes.emplace(
+        it.target.process,
+        Loss{it.target, lost_at, lost_at, it.has_common_cause});
+    losses.last_lost_at = std::max(losses.last_lost_at, lost_at);
+  }
+  std::erase_if(losses.processes, [&](const auto& it) {
+    return losses.answered_at && it.second.lost_at <= *losses.answered_at;
+  });
+  if (!losses.HasExpired(now)) {
+    losses_by_content_[request.content_hash] = std::move(losses);
+  }
+  RemoveExpired(now);
+}
+
+std::vector<SuspectedRequest> CrashingRequestTracker::SharedRequests(
+    base::Millis now) const {
+  std::vector<std::pair<base::Millis, uint64_t>> shared;
+  for (const auto& it : losses_by_content_) {
+    if (!it.second.HasExpired(now) &&
+        (it.second.answered_at ||
+         it.second.Count().events >= kLossEventsUntilShared)) {
+      shared.emplace_back(it.second.last_lost_at, it.first);
+    }
+  }
+  std::sort(shared.rbegin(), shared.rend());
+  shared.resize(std::min(shared.size(), kMaximumSharedRequests));
+  std::vector<SuspectedRequest> requests;
+  for (const auto& it : shared) {
+    const RequestLosses& losses = losses_by_content_.at(it.second);
+    SuspectedRequest request;
+    request.content_hash = it.second;
+    for (const auto& loss : losses.processes) {
+      request.losses.push_back({loss.second.target, now - loss.second.lost_at,
+                                loss.second.has_common_cause});
+    }
+    if (losses.answered_at) {
+      request.answer_age = now - *losses.answered_at;
+    }
+    requests.push_back(std::move(request));
+  }
+  return requests;
+}
+
 void CrashingRequestTracker::RemoveExpired(base::Millis now) {
   while (!recent_losses_.empty() &&
          (now - recent_losses_.front().lost_at >= kRetentionPeriod ||
--- a/src/forward/crashing_request_tracker.h
+++ b/src/forward/crashing_request_tracker.h
@@ -4,8 +4,11 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <vector>
 
 #include "base/clock.h"
+#include "forward/suspected_request.h"
 #include "forward/target_loss.h"
 
 namespace daisypond::forward {
@@ -51,6 +54,11 @@
   /// Maximum number of requests, and of losses, that are stored. Limits memory
   /// use; the oldest entries are removed first.
   static constexpr size_t kMaximumTrackedRequests = 2000;
+  /// Peers are told of requests with at least this many losses. Most harmless
+  /// requests that met a loss have only one.
+  static constexpr size_t kLossEventsUntilShared = 2;
+  /// Maximum number of requests of which peers are told, latest loss first.
+  static constexpr size_t kMaximumSharedRequests = 32;
 
   /// Records the loss of a target. `content_hash` identifies a request that was
   /// sent to the target and not answered yet; it is zero when there is none.
@@ -60,9 +68,13 @@
 
   /// Clears the losses counted against a request. A request that was answered
   /// does not crash targets.
-  void OnRequestAnswered(uint64_t content_hash) {
-    losses_by_content_.erase(content_hash);
-  }
+  void OnRequestAnswered(uint64_t content_hash, base::Millis now);
+
+  /// Adds what a peer knows of a request.
+  void OnSuspectedByPeer(const SuspectedRequest& request, base::Millis now);
+
+  /// Returns the requests of which peers are to be told.
+  std::vector<SuspectedRequest> SharedRequests(base::Millis now) const;
 
   /// True when enough lost targets count against the request; it must not be
   /// sent any more.
@@ -86,6 +98,8 @@
     /// Latest loss of each process of a target.
     std::map<TargetProcess, Loss> processes;
     base::Millis last_lost_at;
+    /// Losses up to this time do not count.
+    std::optional<base::Millis> answered_at;
 
     LossCount Count() const;
     bool IsBlocked() const;
--- a/src/forward/crashing_request_tracker_test.cc
+++ b/src/forward/crashing_request_tracker_test.cc
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(TestLossesExpireAfterRetentionPeriod);
   CPPUNIT_TEST(TestRequestIsReleasedAfterBlockPeriod);
   CPPUNIT_TEST(TestTrackedRequestsAreBounded);
+  CPPUNIT_TEST(TestRestartedInstanceLearnsLossesFromPeer);
+  CPPUNIT_TEST(TestAnswerClearsLossesAtPeers);
   CPPUNIT_TEST(TestTargetThatStaysDownExcusesNoOtherLoss);
   CPPUNIT_TEST(TestLossInAnotherServiceExcusesNoLoss);
   CPPUNIT_TEST(TestCrashesOfARestartedTargetCountEach);
@@ -54,7 +56,7 @@
     for (const char* it : {"a", "b", "c"}) {
       tracker.OnTargetLost(1, Lost(it, std::string("d") + it), {0});
     }
-    tracker.OnRequestAnswered(1);
+    tracker.OnRequestAnswered(1, {0});
     EXPECT(!tracker.IsBlocked(1, {1}));
   }
 
@@ -107,6 +109,42 @@
     EXPECT(!tracker.IsBlocked(0, {static_cast<int64_t>(last)}));
   }
 
+  void TestRestartedInstanceLearnsLossesFromPeer() {
+    CrashingRequestTracker peer;
+    for (const char* it : {"a", "b", "c"}) {
+      peer.OnTargetLost(1, Lost(it, std::string("d") + it), {0});
+    }
+    peer.OnTargetLost(2, Lost("a", "da"), {0});
+    CrashingRequestTracker restarted;
+    EXPECT_EQ(size_t{1}, peer.SharedRequests({1000}).size());
+    for (const SuspectedRequest& it : peer.SharedRequests({1000})) {
+      // The clock of the restarted instance shows another time.
+      restarted.OnSuspectedByPeer(it, {700'000});
+    }
+    EXPECT(restarted.IsBlocked(1, {700'000}));
+    EXPECT(!restarted.IsBlocked(2, {700'000}));
+    EXPECT(!restarted.IsBlocked(
+        1, CrashingRequestTracker::kBlockPeriod + Millis{699'000}));
+  }
+
+  void TestAnswerClearsLossesAtPeers() {
+    CrashingRequestTracker tracker;
+    CrashingRequestTracker peer;
+    for (const char* it : {"a", "b", "c"}) {
+      tracker.OnTargetLost(1, Lost(it, std::string("d") + it), {0});
+      peer.OnTargetLost(1, Lost(it, std::string("d") + it), {0});
+    }
+    tracker.OnRequestAnswered(1, {100});
+    for (const SuspectedRequest& it : tracker.SharedRequests({200})) {
+      peer.OnSuspectedByPeer(it, {200});
+    }
+    for (const SuspectedRequest& it : peer.SharedRequests({300})) {
+      tracker.OnSuspectedByPeer(it, {300});
+    }
+    EXPECT(!peer.IsBlocked(1, {300}));
+    EXPECT(!tracker.IsBlocked(1, {300}));
+  }
+
   // Each failed connection to a target that is down reports it as lost again.
   void TestTargetThatStaysDownExcusesNoOtherLoss() {
     CrashingRequestTracker tracker;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -832,7 +832,8 @@
       text = fallback_answer_;
     } else {
       forwarder_->selector.OnSuccess(placement.id, Clock::Now());
-      forwarder_->crashing_requests.OnRequestAnswered(content_hash_);
+      forwarder_->crashing_requests.OnRequestAnswered(content_hash_,
+                                                      Clock::Now());
     }
     active_connection_.reset();
     LogAnswer(code, base::Reason::kNone);
@@ -919,7 +920,8 @@
     ReuseOrClose(connection, *reader, true);
     active_connection_.reset();
     forwarder_->selector.OnSuccess(placement.id, Clock::Now());
-    forwarder_->crashing_requests.OnRequestAnswered(content_hash_);
+    forwarder_->crashing_requests.OnRequestAnswered(content_hash_,
+                                                    Clock::Now());
     LogAnswer(reader->Status(), base::Reason::kNone);
     const std::string last(kLastChunk);
     const ConnectionReuse written = co_await WriteToCaller(last, reuse);
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -63,6 +63,23 @@
   }
 }
 
+void Forwarder::OnSuspectedByPeer(const SuspectedRequest& request) {
+  const base::Millis now = base::Clock::Now();
+  const uint64_t content_hash = request.content_hash;
+  const size_t known = crashing_requests.CountLosses(content_hash).events;
+  crashing_requests.OnSuspectedByPeer(request, now);
+  const LossCount count = crashing_requests.CountLosses(content_hash);
+  if (count.events == known) {
+    return;
+  }
+  base::Log(base::LogLevel::kInfo, "request_suspected",
+            {{"content", content_hash},
+             {"isolated_losses", count.isolated},
+             {"loss_events", count.events},
+             {"known_events", known},
+             {"blocked", crashing_requests.IsBlocked(content_hash, now)}});
+}
+
 void Forwarder::OnRetryWaitBegun(const std::string& service) {
   ++retry_borrow_states[service].n_waiting;
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -57,6 +57,9 @@
                     uint64_t content_hash,
                     LossSource source);
 
+  /// Adds what a peer knows of a request that may crash targets.
+  void OnSuspectedByPeer(const SuspectedRequest& request);
+
   /// False when the catalog is incomplete or the process is stopping.
   bool IsReady() const { return catalog.IsComplete() && !is_stopping; }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -274,6 +274,7 @@
       timer.expires_after(kMaintenancePeriod.ToChrono());
       co_await timer.async_wait(net::kAsTuple);
       forwarder_.connection_pool.CloseExpired(base::Clock::Now());
+      PublishSuspectedRequests();
       if (forwarder_.is_stopping) {
         CloseIdleSessions();
       }
@@ -336,6 +337,18 @@
                                 forward::LossSource::kPeer);
       });
     };
+    callbacks.suspected_requests = [this] {
+      return forward::Aged(suspected_requests_,
+                           base::Clock::Now() - suspected_requests_at_);
+    };
+    callbacks.on_suspected_requests =
+        [this](const std::vector<forward::SuspectedRequest>& requests) {
+          asio::post(traffic_, [this, requests] {
+            for (const forward::SuspectedRequest& it : requests) {
+              forwarder_.OnSuspectedByPeer(it);
+            }
+          });
+        };
     callbacks.on_member_count = [this](size_t n) { OnMemberCount(n); };
     return callbacks;
   }
@@ -365,6 +378,17 @@
     });
   }
 
+  /// Passes the requests of which peers are to be told from the traffic thread
+  /// to the control thread.
+  void PublishSuspectedRequests() {
+    const base::Millis now = base::Clock::Now();
+    auto requests = forwarder_.crashing_requests.SharedRequests(now);
+    asio::post(control_, [this, now, requests = std::move(requests)] {
+      suspected_requests_ = requests;
+      suspected_requests_at_ = now;
+    });
+  }
+
   void OnMemberCount(size_t n) {
     if (n == member_count_) {
       return;
@@ -435,6 +459,9 @@
   std::optional<StatusServer> status_server_;
   std::optional<PeerLink> peer_link_;
   size_t member_count_ = 0;
+  /// Of the control thread: what peers are to be told, and when it was true.
+  std::vector<forward::SuspectedRequest> suspected_requests_;
+  base::Millis suspected_requests_at_;
   std::map<uint64_t, std::shared_ptr<Session>> sessions_;
   uint64_t last_session_id_ = 0;
   base::Millis stopping_since_;
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -66,6 +66,38 @@
   return target;
 }
 
+peer::SuspectedRequest ToProto(const forward::SuspectedRequest& request) {
+  peer::SuspectedRequest message;
+  message.set_content_digest(request.content_hash);
+  for (const forward::SuspectedRequest::Loss& it : request.losses) {
+    peer::SuspectedLoss* loss = message.add_losses();
+    loss->set_target(it.target.process.id);
+    loss->set_started_at(it.target.process.started_at);
+    loss->set_service(it.target.service);
+    loss->set_failure_domain(it.target.failure_domain);
+    loss->set_age_ms(it.age.count);
+    loss->set_has_common_cause(it.has_common_cause);
+  }
+  message.set_is_answered(request.answer_age.has_value());
+  message.set_answer_age_ms(request.answer_age.value_or(base::Millis{}).count);
+  return message;
+}
+
+forward::SuspectedRequest FromProto(const peer::SuspectedRequest& message) {
+  forward::SuspectedRequest request;
+  request.content_hash = message.content_digest();
+  for (const peer::SuspectedLoss& it : message.losses()) {
+    request.losses.push_back(
+        {{{it.target(), it.started_at()}, it.service(), it.failure_domain()},
+         {it.age_ms()},
+         it.has_common_cause()});
+  }
+  if (message.is_answered()) {
+    request.answer_age = base::Millis{message.answer_age_ms()};
+  }
+  return request;
+}
+
 PeerCatalog FromProto(const peer::FetchCatalogReply& reply) {
   PeerCatalog catalog;
   catalog.configuration = reply.configuration();
@@ -103,9 +135,21 @@
   peer::MembershipCallbacks callbacks;
   callbacks.post = callbacks_.post;
   callbacks.configuration_version = callbacks_.configuration_version;
-  callbacks.add_piggybacked_data = [](peer::PiggybackedData*) {};
-  callbacks.on_message_received = [](const peer::PeerState&,
-                                     const peer::PiggybackedData&) {};
+  callbacks.add_piggybacked_data = [this](peer::PiggybackedData* data) {
+    for (const auto& it : callbacks_.suspected_requests()) {
+      *data->suspected.Add() = ToProto(it);
+    }
+  };
+  callbacks.on_message_received = [this](const peer::PeerState&,
+                                         const peer::PiggybackedData& data) {
+    std::vector<forward::SuspectedRequest> requests;
+    for (const peer::SuspectedRequest& it : data.suspected) {
+      requests.push_back(FromProto(it));
+    }
+    if (!requests.empty()) {
+      callbacks_.on_suspected_requests(requests);
+    }
+  };
   callbacks.on_table_changed = [this] {
     callbacks_.on_member_count(membership_.Table().Reachable().size() + 1);
   };
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -9,6 +9,7 @@
 
 #include "base/metrics.h"
 #include "catalog/catalog.h"
+#include "forward/suspected_request.h"
 #include "forward/target_loss.h"
 #include "gateway/catalog_source.h"
 #include "gateway/settings.h"
@@ -46,6 +47,12 @@
   /// is none.
   std::function<void(const forward::TargetLoss& target, uint64_t content_hash)>
       on_target_lost;
+  /// Returns the requests suspected to crash targets of which peers are to be
+  /// told.
+  std::function<std::vector<forward::SuspectedRequest>()> suspected_requests;
+  /// Called with the requests that a peer suspects to crash targets, if any.
+  std::function<void(const std::vector<forward::SuspectedRequest>&)>
+      on_suspected_requests;
   /// Called with the number of instances in the group, including this one,
   /// whenever that number may have changed.
   std::function<void(size_t)> on_member_count;
--- a/src/peer/membership_protocol.cc
+++ b/src/peer/membership_protocol.cc
@@ -76,6 +76,7 @@
   callbacks_.add_piggybacked_data(&piggybacked);
   *message->mutable_condemned() = std::move(piggybacked.condemned);
   *message->mutable_targets() = std::move(piggybacked.targets);
+  *message->mutable_suspected() = std::move(piggybacked.suspected);
 }
 
 ExchangeRequest MembershipProtocol::BuildRequest() {
@@ -175,8 +176,8 @@
     ApplyPeerState(it);
   }
   callbacks_.on_message_received(
-      message.sender(),
-      PiggybackedData{message.condemned(), message.targets()});
+      message.sender(), PiggybackedData{message.condemned(), message.targets(),
+                                        message.suspected()});
   callbacks_.on_table_changed();
 }
 
--- a/src/peer/membership_protocol.h
+++ b/src/peer/membership_protocol.h
@@ -16,6 +16,7 @@
 struct PiggybackedData {
   google::protobuf::RepeatedPtrField<Condemned> condemned;
   google::protobuf::RepeatedPtrField<TargetReport> targets;
+  google::protobuf::RepeatedPtrField<SuspectedRequest> suspected;
 };
 
 /// Callbacks into the owner of a MembershipProtocol. All but `post` are called
