Decode and log the request limit that a target names

Change: the platform's dialect decodes the limit into a typed field, for answers to requests, polls and probes; the target selector keeps it and each change is logged. A limit that cannot be read is logged and ignored. No decision uses it yet.

--- a/src/forward/engine_poll.h
+++ b/src/forward/engine_poll.h
@@ -60,6 +60,11 @@
     poll_forwarder->metrics->Add(base::Counter::kProbes);
     const std::optional<TargetAnswer> answer =
         co_await CallTarget(poll_forwarder, std::move(call), poll_deadline);
+    if (answer) {
+      poll_forwarder->OnResponse(
+          engine.id,
+          DialectType::ParseResponseHeader(answer->status, answer->fields));
+    }
     const std::optional<EngineReport> report =
         answer ? DialectType::ParseEngineReport(answer->body) : std::nullopt;
     if (report) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -673,6 +673,7 @@
                           TargetConnection* connection) {
     const Millis now = Clock::Now();
     forwarder_->selector.OnBytesReceived(placement.id, now);
+    forwarder_->OnResponse(placement.id, metadata);
     if (metadata.load) {
       forwarder_->selector.OnLoadReport(placement.id, *metadata.load, now);
     }
@@ -719,6 +720,10 @@
     const std::optional<TargetAnswer> answer =
         co_await CallTarget(forwarder_, std::move(call), now + kProbeTimeout);
     const bool is_alive = answer.has_value();
+    if (answer) {
+      forwarder_->OnResponse(placement.id, DialectType::ParseResponseHeader(
+                                               answer->status, answer->fields));
+    }
     LogProbe(placement, is_alive, Clock::Now() - now);
     co_return is_alive;
   }
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "base/hash.h"
 #include "base/log.h"
 
@@ -80,6 +82,24 @@
              {"blocked", crashing_requests.IsBlocked(content_hash, now)}});
 }
 
+void Forwarder::OnResponse(const std::string& target,
+                           const ResponseMetadata& metadata) {
+  if (metadata.has_unreadable_limit) {
+    base::Log(base::LogLevel::kWarning, "target_limit_unreadable",
+              {{"target", target}});
+    return;
+  }
+  if (!metadata.is_wrong_target &&
+      selector.OnRequestLimit(target, metadata.request_limit)) {
+    base::Log(
+        base::LogLevel::kInfo, "target_limit",
+        {{"target", target},
+         {"requests_per_second",
+          metadata.request_limit ? fmt::format("{}", *metadata.request_limit)
+                                 : "none"}});
+  }
+}
+
 void Forwarder::OnRetryWaitBegun(const std::string& service) {
   ++retry_borrow_states[service].n_waiting;
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -11,6 +11,7 @@
 #include "catalog/catalog.h"
 #include "forward/connection_pool.h"
 #include "forward/crashing_request_tracker.h"
+#include "forward/message.h"
 #include "forward/retry_limit.h"
 #include "forward/target_loss.h"
 #include "forward/target_selector.h"
@@ -60,6 +61,10 @@
   /// Adds what a peer knows of a request that may crash targets.
   void OnSuspectedByPeer(const SuspectedRequest& request);
 
+  /// Records the limit that a response of the target states, or that it states
+  /// none.
+  void OnResponse(const std::string& target, const ResponseMetadata& metadata);
+
   /// False when the catalog is incomplete or the process is stopping.
   bool IsReady() const { return catalog.IsComplete() && !is_stopping; }
 
--- a/src/forward/message.h
+++ b/src/forward/message.h
@@ -109,6 +109,11 @@
   /// target created.
   bool is_encoded = false;
   std::optional<LoadReport> load;
+  /// Requests a second that the target accepts from all instances together. The
+  /// limit holds until a response states none.
+  std::optional<double> request_limit;
+  /// The response states a limit that cannot be read. The previous one holds.
+  bool has_unreadable_limit = false;
   /// How long the target keeps an idle connection open; empty when not stated.
   std::optional<base::Millis> keep_alive;
 };
--- a/src/forward/target_call.cc
+++ b/src/forward/target_call.cc
@@ -41,6 +41,7 @@
     co_return std::nullopt;
   }
   answer.status = reader.Status();
+  answer.fields = reader.Fields();
   if (reader.HasDelimitedBody() && reader.IsKeptAlive() &&
       connection->Buffer().size() == 0) {
     forwarder->connection_pool.ReturnIdle(connection, base::Clock::Now());
--- a/src/forward/target_call.h
+++ b/src/forward/target_call.h
@@ -23,6 +23,7 @@
 
 struct TargetAnswer {
   unsigned status = 0;
+  boost::beast::http::fields fields;
   std::string body;
 };
 
--- a/src/forward/target_selector.cc
+++ b/src/forward/target_selector.cc
@@ -420,6 +420,22 @@
   }
 }
 
+bool TargetSelector::OnRequestLimit(const std::string& id,
+                                    std::optional<double> limit) {
+  TargetState* state = StateOf(id);
+  if (state == nullptr || state->request_limit == limit) {
+    return false;
+  }
+  state->request_limit = limit;
+  return true;
+}
+
+std::optional<double> TargetSelector::RequestLimit(
+    const std::string& id) const {
+  const auto it = states_.find(id);
+  return it == states_.end() ? std::nullopt : it->second.request_limit;
+}
+
 bool TargetSelector::IsSuperseded(const std::string& id) const {
   const auto it = states_.find(id);
   return it == states_.end() || it->second.is_superseded;
--- a/src/forward/target_selector.h
+++ b/src/forward/target_selector.h
@@ -47,6 +47,9 @@
   base::Millis failed_at{INT64_MIN / 2};
   /// When the target last sent any data.
   base::Millis last_heard_at{INT64_MIN / 2};
+  /// Requests a second that the target accepts from all instances together;
+  /// empty when it has stated no limit.
+  std::optional<double> request_limit;
   /// Weighted share of failures among recent sends, from 0 to 1. Newer sends
   /// have more weight.
   double failure_rate = 0;
@@ -168,6 +171,14 @@
   /// The target refused a request because it had no free slot.
   void OnFull(const std::string& id, base::Millis now);
 
+  /// The target stated a limit on its requests a second, or that there is none.
+  /// Returns true if that is a change.
+  bool OnRequestLimit(const std::string& id, std::optional<double> limit);
+
+  /// Returns the requests a second that the target accepts from all instances
+  /// together; empty when there is no limit.
+  std::optional<double> RequestLimit(const std::string& id) const;
+
   /// True when the target is not in the catalog or a later target is registered
   /// at its address.
   bool IsSuperseded(const std::string& id) const;
