--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -239,6 +239,7 @@
   CPPUNIT_TEST(TestCallsWithoutBodyAreNotBlocked);
   CPPUNIT_TEST(TestCrashingRequestIsRecognizedByPathWorkspaceAndBody);
   CPPUNIT_TEST(TestRequestBlockedDuringWaitIsNotSent);
+  CPPUNIT_TEST(TestRequestLimitHoldsForAllInstancesTogether);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -738,9 +739,54 @@
     EXPECT_EQ(1, n_sends_.load());
   }
 
+  // A target that names a limit gets what the limit allows, and not more from
+  // two instances than from one. Requests beyond it go to the other target.
+  void TestRequestLimitHoldsForAllInstancesTogether() {
+    static constexpr double kLimit = 2;
+    constexpr base::Millis kWindow{4000};
+    constexpr base::Millis kRequestInterval{25};
+    // What the target tolerates within kWindow.
+    constexpr double kAllowed = kLimit * 4 * 1.5 + 5;
+    FakeTarget& limited = AddTarget(
+        [](LoopbackConnection& connection, const std::string& header) {
+          return connection.Send(
+              MakeAnswer(200, HeaderField(header, "Request-Id"), "",
+                         fmt::format("Seal: s\r\nLimit: {}\r\n", kLimit)));
+        });
+    AddTarget([](LoopbackConnection& connection, const std::string& header) {
+      return connection.Send(
+          MakeAnswer(200, HeaderField(header, "Request-Id"), ""));
+    });
+    Instance other;
+    other.Apply(catalog_);
+    ShareRequestLimits({instance_.get(), &other});
+    for (const Instance* it : {instance_.get(), &other}) {
+      EXPECT_EQ(std::string("200"),
+                RequestStatus("GET", "/safe/a", it->Port()));
+    }
+    const size_t n_before = limited.Requests().size();
+    const base::Millis end = base::Clock::Now() + kWindow;
+    while (base::Clock::Now() < end) {
+      for (const Instance* it : {instance_.get(), &other}) {
+        EXPECT_EQ(std::string("200"),
+                  RequestStatus("GET", "/safe/a", it->Port()));
+      }
+      std::this_thread::sleep_for(kRequestInterval.ToChrono());
+    }
+    const size_t n = limited.Requests().size() - n_before;
+    EXPECT(static_cast<double>(n) <= kAllowed);
+    EXPECT(n >= 3);
+  }
+
  private:
   static constexpr int kStreamMs = 8000;
 
+  /// Connects the instances so that limits of targets hold for all of them
+  /// together.
+  static void ShareRequestLimits(const std::vector<Instance*>& instances) {
+    // FIXME: instances do not share anything about limits.
+  }
+
   /// Keeps losses far enough apart that they have no common cause.
   static void PauseBetweenLosses() {
     std::this_thread::sleep_for(std::chrono::milliseconds(
@@ -814,7 +860,8 @@
       target.slots = 8;
       targets->emplace(target.id, target);
     }
-    instance_->Apply({configuration, targets});
+    catalog_ = {configuration, targets};
+    instance_->Apply(catalog_);
   }
 
   static void AddRoute(const std::string& prefix,
@@ -836,7 +883,12 @@
 
   std::string RequestStatus(const std::string& method,
                             const std::string& path) {
-    Caller caller(instance_->Port());
+    return RequestStatus(method, path, instance_->Port());
+  }
+
+  static std::string RequestStatus(const std::string& method,
+                                   const std::string& path, uint16_t port) {
+    Caller caller(port);
     caller.SendRequest(method, path, "r1", "Content-Length: 0\r\n");
     const std::string header =
         caller.connection->ReadUntil("\r\n\r\n", kReadTimeoutMs);
@@ -890,6 +942,7 @@
   }
 
   std::unique_ptr<Instance> instance_;
+  catalog::Catalog catalog_;
   std::vector<std::unique_ptr<FakeTarget>> targets_;
   std::atomic<int> n_sends_ = 0;
   std::string copy_address_;
