Keep to the request limit that a target names, all instances together

Cause: nothing read the limit. A limit kept by each instance for itself would not hold either: three instances sent most of the load of the target in luzon-a, and all eight sent some.

Change: before a request, probe or poll to such a target, an instance takes a permit from the member that holds the target's permits (a token bucket, another member for each target, empty when a member becomes the holder). Without a permit, also when the holder is silent, the request goes to another target; when all targets lack one, it is refused at once with the time at which a permit can be expected, spread over a second. A stream that has begun waits as it does for any target. Weighed: an equal share for each instance (83 members of a group with a limit of 2 would get one request in 40 s each, and unused shares are lost).

--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -73,9 +73,12 @@
   kErrorAnswer,
   /// Another target now has the address that the request was sent to.
   kTargetReplaced,
+  /// All targets that could run the request limit their requests, and the
+  /// limits are used up.
+  kTargetLimit,
 };
 
-inline constexpr NameTable<Reason, 36> kReasonNames("none",
+inline constexpr NameTable<Reason, 37> kReasonNames("none",
                                                     "bad_request",
                                                     "body_too_large",
                                                     "unauthorized",
@@ -110,7 +113,8 @@
                                                     "header_too_large",
                                                     "answer_torn",
                                                     "error_answer",
-                                                    "target_replaced");
+                                                    "target_replaced",
+                                                    "target_limit");
 
 /// Which attempts with an idempotency key a verdict covers.
 enum class VerdictScope : uint8_t {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -19,6 +19,7 @@
 #include "forward/response_reader.h"
 #include "forward/run_copy.h"
 #include "forward/send_tracker.h"
+#include "forward/take_permit.h"
 #include "forward/target_call.h"
 
 namespace daisypond::forward {
@@ -227,7 +228,7 @@
       }
       if (!placement) {
         reason = send_tracker_->SendCount() == 0 && n_refusals_ == 0
-                     ? base::Reason::kNoTarget
+                     ? ReasonForNoTarget()
                      : reason;
         break;
       }
@@ -237,6 +238,13 @@
         reason = base::Reason::kCondemned;
         break;
       }
+      const bool is_permitted = co_await AcquirePermit(*placement);
+      if (is_caller_gone_) {
+        break;
+      }
+      if (!is_permitted) {
+        continue;
+      }
       const SendResult result = co_await SendTo(*placement, reason);
       if (result.finished) {
         co_return *result.finished;
@@ -249,6 +257,39 @@
     co_return co_await FailRequest(reason);
   }
 
+  /// Returns why no target can be chosen. If targets only lack a permit, sets
+  /// `permit_wait_`.
+  base::Reason ReasonForNoTarget() {
+    const Millis now = Clock::Now();
+    const std::optional<Millis> next_permit_at =
+        forwarder_->selector.NextPermitAt(BasePlacementRequest(), now);
+    if (!next_permit_at) {
+      return base::Reason::kNoTarget;
+    }
+    permit_wait_ = *next_permit_at - now;
+    return base::Reason::kTargetLimit;
+  }
+
+  /// Takes a permit if the target limits the requests of all instances. A
+  /// target without a permit is not chosen until one can be expected.
+  net::asio::awaitable<bool> AcquirePermit(Placement placement) {
+    const std::optional<double> limit =
+        forwarder_->selector.RequestLimit(placement.id);
+    if (!limit) {
+      co_return true;
+    }
+    // A braced temporary in a co_await expression is destroyed twice by GCC 12.
+    const TargetProcess process{placement.id, placement.started_at};
+    const RequestPermit permit =
+        co_await TakePermit(forwarder_, process, *limit);
+    LogPermit(placement, *limit, permit);
+    if (!permit.is_granted) {
+      forwarder_->selector.OnPermitRefused(placement.id,
+                                           Clock::Now() + permit.wait);
+    }
+    co_return permit.is_granted;
+  }
+
   /// True when the request is suspected to crash targets.
   bool IsBlocked() const {
     return forwarder_->crashing_requests.IsBlocked(content_hash_, Clock::Now());
@@ -312,8 +353,16 @@
     PlacementRequest wanted = BasePlacementRequest();
     wanted.avoided_domain = last_lost_domain_;
     if (engine_traits_ != nullptr && route_->is_stream) {
-      const auto polled_engines =
+      auto polled_engines =
           forwarder_->selector.Rank(wanted, kPolledEngines, now);
+      const auto is_limited = [this](const Placement& it) {
+        return forwarder_->selector.RequestLimit(it.id).has_value();
+      };
+      // Polls count towards the limit of a target, so it is chosen without one.
+      if (!polled_engines.empty() && is_limited(polled_engines.front())) {
+        co_return polled_engines.front();
+      }
+      std::erase_if(polled_engines, is_limited);
       wanted.allowed =
           co_await PollEngines<DialectType>(forwarder_, polled_engines);
       if (wanted.allowed.empty()) {
@@ -421,11 +470,22 @@
     verdict.reason = reason;
     verdict.detail = "no target has answered";
     if (verdict.execution == base::Execution::kNotRun) {
-      verdict.retry_after = kRefusalRetryAfter;
+      verdict.retry_after = reason == base::Reason::kTargetLimit
+                                ? RetryAfterForLimit()
+                                : kRefusalRetryAfter;
     }
     co_return co_await AnswerVerdict(verdict);
   }
 
+  /// Returns the Retry-After value when targets have no permits left. Spread
+  /// out, so that the refused callers do not return together.
+  Millis RetryAfterForLimit() const {
+    const auto spread = static_cast<int64_t>(
+        base::RandomNumber() %
+        static_cast<uint64_t>(kLimitRetryAfterSpread.count));
+    return permit_wait_ + Millis{spread};
+  }
+
   // ---- One send.
 
   net::asio::awaitable<SendResult> SendTo(Placement placement,
@@ -714,6 +774,10 @@
         kRecentlyHeardPeriod) {
       co_return true;
     }
+    if (!co_await AcquirePermit(placement)) {
+      // Not known; the next probe may get a permit.
+      co_return true;
+    }
     forwarder_->metrics->Add(base::Counter::kProbes);
     TargetCall call{placement.id, placement.address, "GET",
                     DialectType::kEngineReportPath, ""};
@@ -1035,6 +1099,17 @@
                {"took_ms", took.count}});
   }
 
+  void LogPermit(const Placement& placement,
+                 double limit,
+                 RequestPermit permit) const {
+    base::Log(base::LogLevel::kInfo, "permit",
+              {{"request", request_info_.id},
+               {"target", placement.id},
+               {"limit", limit},
+               {"granted", permit.is_granted},
+               {"wait_ms", permit.wait.count}});
+  }
+
   void LogRetryWait(bool is_granted, Millis waited) const {
     base::Log(base::LogLevel::kInfo, "retry_wait",
               {{"request", request_info_.id},
@@ -1113,6 +1188,8 @@
   /// Targets whose connection broke during a send of this request. Each of them
   /// becomes `reconnect_candidate_` only once.
   std::set<std::string> disconnected_targets_;
+  /// When no target has a permit left: time until one can be expected.
+  Millis permit_wait_;
   bool is_caller_gone_ = false;
   /// The connection of the send in progress.
   std::shared_ptr<TargetConnection> active_connection_;
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -94,6 +94,9 @@
 /// Retry-After of a request that no target has run. After this time the caller
 /// may reach another instance, or a target may have recovered.
 inline constexpr base::Millis kRefusalRetryAfter{300};
+/// Callers that are refused because targets limit their requests are told to
+/// return at times spread over this period.
+inline constexpr base::Millis kLimitRetryAfterSpread{1000};
 /// Retry-After of an instance without a configuration. An instance that has
 /// just started receives its configuration within this time.
 inline constexpr base::Millis kConfigurationRetryAfter{300};
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -143,6 +144,18 @@
     forwarder_->OnTargetLost(target, content_hash, LossSource::kPeer);
   }
 
+  template <typename Take>
+  void SetPermitSource(Take take) {
+    std::atomic<bool> is_done = false;
+    asio::post(io_, [&] {
+      forwarder_->take_permit = take;
+      is_done = true;
+    });
+    while (!is_done) {
+      std::this_thread::yield();
+    }
+  }
+
   uint16_t Port() const { return port_; }
 
   base::Metrics metrics;
@@ -240,6 +253,8 @@
   CPPUNIT_TEST(TestCrashingRequestIsRecognizedByPathWorkspaceAndBody);
   CPPUNIT_TEST(TestRequestBlockedDuringWaitIsNotSent);
   CPPUNIT_TEST(TestRequestLimitHoldsForAllInstancesTogether);
+  CPPUNIT_TEST(TestRequestBeyondAllLimitsIsRefusedAtOnce);
+  CPPUNIT_TEST(TestLiftedLimitHoldsNoLonger);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -739,6 +754,44 @@
     EXPECT_EQ(1, n_sends_.load());
   }
 
+  void TestRequestBeyondAllLimitsIsRefusedAtOnce() {
+    FakeTarget& target = AddTarget([](LoopbackConnection& connection,
+                                      const std::string& header) {
+      return connection.Send(MakeAnswer(200, HeaderField(header, "Request-Id"),
+                                        "", "Seal: s\r\nLimit: 0.5\r\n"));
+    });
+    ShareRequestLimits({instance_.get()});
+    EXPECT_EQ(std::string("200"), RequestStatus("POST", "/once/a"));
+    for (int i = 0; i < 3; ++i) {
+      const base::Millis began_at = base::Clock::Now();
+      Caller caller(instance_->Port());
+      caller.SendRequest("POST", "/once/a", "r1", "Content-Length: 0\r\n");
+      const std::string header =
+          caller.connection->ReadUntil("\r\n\r\n", kReadTimeoutMs);
+      EXPECT(header.starts_with("HTTP/1.1 503 "));
+      EXPECT(std::stod(HeaderField(header, "Retry-After")) >= 1);
+      EXPECT(base::Clock::Now() - began_at < base::Millis{200});
+    }
+    EXPECT_EQ(size_t{1}, target.Requests().size());
+  }
+
+  void TestLiftedLimitHoldsNoLonger() {
+    std::atomic<bool> is_limited = true;
+    AddTarget([&](LoopbackConnection& connection, const std::string& header) {
+      return connection.Send(
+          MakeAnswer(200, HeaderField(header, "Request-Id"), "",
+                     is_limited ? "Seal: s\r\nLimit: 4\r\n" : "Seal: s\r\n"));
+    });
+    ShareRequestLimits({instance_.get()});
+    EXPECT_EQ(std::string("200"), RequestStatus("POST", "/once/a"));
+    EXPECT_EQ(std::string("503"), RequestStatus("POST", "/once/a"));
+    is_limited = false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    for (int i = 0; i < 10; ++i) {
+      EXPECT_EQ(std::string("200"), RequestStatus("POST", "/once/a"));
+    }
+  }
+
   // A target that names a limit gets what the limit allows, and not more from
   // two instances than from one. Requests beyond it go to the other target.
   void TestRequestLimitHoldsForAllInstancesTogether() {
@@ -784,7 +837,19 @@
   /// Connects the instances so that limits of targets hold for all of them
   /// together.
   static void ShareRequestLimits(const std::vector<Instance*>& instances) {
-    // FIXME: instances do not share anything about limits.
+    struct SharedPool {
+      std::mutex mutex;
+      RequestPermitPool pool;
+    };
+    const auto shared = std::make_shared<SharedPool>();
+    for (Instance* it : instances) {
+      it->SetPermitSource(
+          [shared](const TargetProcess& target, double limit,
+                   const std::function<void(RequestPermit)>& done) {
+            const std::lock_guard lock(shared->mutex);
+            done(shared->pool.Take(target, limit, base::Clock::Now()));
+          });
+    }
   }
 
   /// Keeps losses far enough apart that they have no common cause.
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -12,6 +12,7 @@
 #include "forward/connection_pool.h"
 #include "forward/crashing_request_tracker.h"
 #include "forward/message.h"
+#include "forward/request_permit_pool.h"
 #include "forward/retry_limit.h"
 #include "forward/target_loss.h"
 #include "forward/target_selector.h"
@@ -87,6 +88,13 @@
                      int wanted,
                      std::function<void(int)> done)>
       borrow_retries;
+  /// Takes a permit to send one request to a target that limits the requests a
+  /// second of all instances together. `done` is called once, on the traffic
+  /// thread.
+  std::function<void(const TargetProcess& target,
+                     double limit,
+                     std::function<void(RequestPermit)> done)>
+      take_permit;
   /// Requests that wait for retry budget for one service, and the borrow
   /// requests to the shared pool on their behalf.
   struct RetryBorrowState {
--- a/src/forward/target_selector.cc
+++ b/src/forward/target_selector.cc
@@ -226,7 +226,8 @@
   std::vector<std::pair<double, const TargetState*>> scored;
   for (const auto& it : states_) {
     const TargetState& state = it.second;
-    if (!IsEligible(state, request) || now < state.unreachable_until) {
+    if (!IsEligible(state, request) || now < state.unreachable_until ||
+        now < state.no_permit_until) {
       continue;
     }
     const std::string& domain = state.target.failure_domain;
@@ -270,7 +271,7 @@
   const auto it = states_.find(id);
   if (it == states_.end() || it->second.target.is_leaving ||
       it->second.is_replaced || it->second.is_superseded ||
-      now < it->second.avoided_until) {
+      now < it->second.avoided_until || now < it->second.no_permit_until) {
     return std::nullopt;
   }
   return MakePlacement(it->second, 0, now);
@@ -427,6 +428,9 @@
     return false;
   }
   state->request_limit = limit;
+  if (!limit) {
+    state->no_permit_until = {0};
+  }
   return true;
 }
 
@@ -436,6 +440,27 @@
   return it == states_.end() ? std::nullopt : it->second.request_limit;
 }
 
+void TargetSelector::OnPermitRefused(const std::string& id, Millis until) {
+  if (TargetState* state = StateOf(id)) {
+    state->no_permit_until = until;
+  }
+}
+
+std::optional<Millis> TargetSelector::NextPermitAt(
+    const PlacementRequest& request,
+    Millis now) const {
+  std::optional<Millis> next;
+  for (const auto& it : states_) {
+    const TargetState& state = it.second;
+    if (IsEligible(state, request) && now >= state.unreachable_until &&
+        now < state.no_permit_until) {
+      next =
+          std::min(next.value_or(state.no_permit_until), state.no_permit_until);
+    }
+  }
+  return next;
+}
+
 bool TargetSelector::IsSuperseded(const std::string& id) const {
   const auto it = states_.find(id);
   return it == states_.end() || it->second.is_superseded;
--- a/src/forward/target_selector.h
+++ b/src/forward/target_selector.h
@@ -50,6 +50,9 @@
   /// Requests a second that the target accepts from all instances together;
   /// empty when it has stated no limit.
   std::optional<double> request_limit;
+  /// Until this time the target is not chosen, because a permit to send it a
+  /// request was refused.
+  base::Millis no_permit_until;
   /// Weighted share of failures among recent sends, from 0 to 1. Newer sends
   /// have more weight.
   double failure_rate = 0;
@@ -179,6 +182,15 @@
   /// together; empty when there is no limit.
   std::optional<double> RequestLimit(const std::string& id) const;
 
+  /// A permit to send the target a request was refused; the target is not
+  /// chosen until `until`.
+  void OnPermitRefused(const std::string& id, base::Millis until);
+
+  /// If the service has targets that could be chosen with a permit, returns
+  /// when the first of them may be tried again.
+  std::optional<base::Millis> NextPermitAt(const PlacementRequest& request,
+                                           base::Millis now) const;
+
   /// True when the target is not in the catalog or a later target is registered
   /// at its address.
   bool IsSuperseded(const std::string& id) const;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -63,6 +63,16 @@
             });
       });
     };
+    forwarder_.take_permit =
+        [this](const forward::TargetProcess& target, double limit,
+               std::function<void(forward::RequestPermit)> done) {
+          asio::post(control_, [this, target, limit, done = std::move(done)] {
+            peer_link_->RequestLimit().TakePermit(
+                target, limit, [this, done](forward::RequestPermit permit) {
+                  asio::post(traffic_, [done, permit] { done(permit); });
+                });
+          });
+        };
     forwarder_.on_target_lost = [this](const forward::TargetLoss& target,
                                        uint64_t content_hash) {
       asio::post(control_, [this, target, content_hash] {
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -127,6 +127,7 @@
                     &client_,
                     callbacks_.post,
                     MakeRetryPool(settings)),
+      request_limit_(&membership_, &client_),
       server_(settings.peer_listen,
               grpc::InsecureServerCredentials(),
               MakeServerDependencies()) {}
@@ -180,6 +181,13 @@
       [this](const peer::ReportRequestsRequest& request) {
         retry_budget_.AddReportedRequests(request);
       };
+  dependencies.on_take_permit = [this](const peer::TakePermitRequest& request) {
+    const forward::RequestPermit permit = request_limit_.Grant(request);
+    peer::TakePermitReply reply;
+    reply.set_is_granted(permit.is_granted);
+    reply.set_wait_ms(permit.wait.count);
+    return reply;
+  };
   dependencies.on_fetch_catalog =
       [this](const peer::FetchCatalogRequest& request,
              std::function<void(peer::FetchCatalogReply)> done) {
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -13,6 +13,7 @@
 #include "forward/target_loss.h"
 #include "gateway/catalog_source.h"
 #include "gateway/settings.h"
+#include "gateway/shared_request_limit.h"
 #include "gateway/shared_retry_budget.h"
 #include "peer/membership_protocol.h"
 #include "peer/peer_client.h"
@@ -103,6 +104,9 @@
   /// has changed and every kFetchPeriod.
   void AnswerHeldRequests();
 
+  /// The limits on requests to targets that all instances share.
+  SharedRequestLimit& RequestLimit() { return request_limit_; }
+
   /// The limit on retries that all instances share.
   SharedRetryBudget& RetryBudget() { return retry_budget_; }
 
@@ -144,6 +148,7 @@
   peer::PeerClient client_;
   peer::MembershipProtocol membership_;
   SharedRetryBudget retry_budget_;
+  SharedRequestLimit request_limit_;
   peer::PeerServer server_;
   std::vector<HeldRequest> held_requests_;
   bool is_fetching_ = false;
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -81,6 +82,23 @@
 
   void Start() { loop_.Start(); }
 
+  /// Asks for a permit, unless it is too soon after a refusal. Adds 1 to
+  /// `permits` if it is granted.
+  void TakePermit(const forward::TargetProcess& target, double limit) {
+    loop_.Post([this, target, limit] {
+      if (base::Clock::Now().count < ask_again_at_) {
+        return;
+      }
+      link_->RequestLimit().TakePermit(
+          target, limit, [this](forward::RequestPermit permit) {
+            permits += permit.is_granted ? 1 : 0;
+            ask_again_at_ = (base::Clock::Now() + permit.wait).count;
+          });
+    });
+  }
+
+  std::atomic<int> permits = 0;
+
   std::vector<forward::SuspectedRequest> suspected;
   std::atomic<uint64_t> learned_hash = 0;
   std::atomic<size_t> member_count = 0;
@@ -89,6 +107,7 @@
   base::Metrics metrics_;
   base::ControlLoop loop_;
   std::optional<PeerLink> link_;
+  std::atomic<int64_t> ask_again_at_ = 0;
 };
 
 template <typename Condition>
@@ -103,6 +122,8 @@
 SUITE(PeerLinkTest) {
   CPPUNIT_TEST_SUITE(PeerLinkTest);
   CPPUNIT_TEST(TestRestartedInstanceLearnsOfCrashingRequests);
+  CPPUNIT_TEST(TestMembersShareTheLimitOfATarget);
+  CPPUNIT_TEST(TestPermitHolderIsAliveAndDiffersByTarget);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -124,6 +145,48 @@
     instance->Start();
     EXPECT(BecomesTrue([&] { return instance->learned_hash == 7; }, kTimeout));
   }
+
+  void TestMembersShareTheLimitOfATarget() {
+    constexpr base::Millis kTimeout{5000};
+    constexpr base::Millis kDuration{3000};
+    constexpr double kLimit = 4;
+    const std::string address = FreeAddress();
+    Member a("a", address, {});
+    Member b("b", FreeAddress(), {address});
+    a.Start();
+    b.Start();
+    EXPECT(BecomesTrue(
+        [&] { return a.member_count == 2 && b.member_count == 2; }, kTimeout));
+    const base::Millis end = base::Clock::Now() + kDuration;
+    while (base::Clock::Now() < end) {
+      a.TakePermit({"t", 1}, kLimit);
+      b.TakePermit({"t", 1}, kLimit);
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    EXPECT(a.permits + b.permits <= 14);
+    EXPECT(a.permits + b.permits >= 8);
+    EXPECT(a.permits > 0 && b.permits > 0);
+  }
+
+  void TestPermitHolderIsAliveAndDiffersByTarget() {
+    std::vector<membership::PeerState> members(5);
+    for (size_t i = 0; i < members.size(); ++i) {
+      members[i].instance = fmt::format("i{}", i);
+      members[i].address = fmt::format("10.0.0.{}:1", i);
+      members[i].status = membership::PeerStatus::kAlive;
+    }
+    members[4].status = membership::PeerStatus::kLeaving;
+    std::set<std::string> holders;
+    for (int i = 0; i < 100; ++i) {
+      const std::string target = fmt::format("t{}", i);
+      const std::string holder =
+          SelectPermitHolder(target, members[0], members);
+      EXPECT_EQ(holder, SelectPermitHolder(target, members[3], members));
+      EXPECT_EQ(holder, SelectPermitHolder(target, members[4], members));
+      holders.insert(holder);
+    }
+    EXPECT_EQ(size_t{4}, holders.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerLinkTest);
--- a/src/peer/peer_client.cc
+++ b/src/peer/peer_client.cc
@@ -316,6 +316,24 @@
       });
 }
 
+void PeerClient::TakePermit(
+    const std::string& address,
+    const TakePermitRequest& request,
+    base::Millis timeout,
+    std::function<void(std::optional<TakePermitReply>)> done) {
+  auto shared_request = std::make_shared<TakePermitRequest>(request);
+  StartCall<TakePermitRequest, TakePermitReply>(
+      address, *shared_request, timeout,
+      [shared_request](auto* stub, auto* context, const auto&, auto* reply,
+                       auto on_done) {
+        stub->TakePermit(context, shared_request.get(), reply,
+                         [shared_request, on_done](const grpc::Status& status) {
+                           on_done(status);
+                         });
+      },
+      std::move(done));
+}
+
 void PeerClient::ReportDeath(const std::string& address,
                              const ReportDeathRequest& request) {
   auto shared_request = std::make_shared<ReportDeathRequest>(request);
--- a/src/peer/peer_client.h
+++ b/src/peer/peer_client.h
@@ -89,6 +89,13 @@
                       base::Millis timeout,
                       std::function<void(bool)> done);
 
+  /// Asks a peer for a permit to send a request to a target. `done` gets
+  /// nothing when the peer did not answer.
+  void TakePermit(const std::string& address,
+                  const TakePermitRequest& request,
+                  base::Millis timeout,
+                  std::function<void(std::optional<TakePermitReply>)> done);
+
   /// Reports the death of a target to a peer. The result of the call is
   /// ignored.
   void ReportDeath(const std::string& address,
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -128,6 +128,20 @@
     return FinishOk(context);
   }
 
+  grpc::ServerUnaryReactor* TakePermit(grpc::CallbackServerContext* context,
+                                       const TakePermitRequest* request,
+                                       TakePermitReply* reply) override {
+    if (!dependencies_.on_take_permit) {
+      return FinishUnimplemented(context);
+    }
+    auto* reactor = context->DefaultReactor();
+    dependencies_.post([this, request, reply, reactor] {
+      *reply = dependencies_.on_take_permit(*request);
+      reactor->Finish(grpc::Status::OK);
+    });
+    return reactor;
+  }
+
  private:
   static grpc::ServerUnaryReactor* FinishUnimplemented(
       grpc::CallbackServerContext* context) {
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -39,10 +39,14 @@
 using ReportRequestsHandler =
     std::function<void(const ReportRequestsRequest& request)>;
 
+/// Answers a peer's request for a permit. Called on the control thread.
+using TakePermitHandler =
+    std::function<TakePermitReply(const TakePermitRequest& request)>;
+
 /// The objects and handlers that answer calls. `copy_store`, `configuration`,
-/// `on_fetch_catalog`, `on_lend_retries` and `on_report_requests` may be null;
-/// calls that need a null member fail with UNIMPLEMENTED. The other members
-/// must be set.
+/// `on_fetch_catalog`, `on_lend_retries`, `on_report_requests` and
+/// `on_take_permit` may be null; calls that need a null member fail with
+/// UNIMPLEMENTED. The other members must be set.
 struct PeerServerDependencies {
   generation::CopyStore* copy_store = nullptr;
   intents::ActiveConfiguration* configuration = nullptr;
@@ -53,6 +57,7 @@
   FetchCatalogHandler on_fetch_catalog;
   LendRetriesHandler on_lend_retries;
   ReportRequestsHandler on_report_requests;
+  TakePermitHandler on_take_permit;
 };
 
 /// Serves the gRPC service Peers. Calls that use the copy store or the
