Report a second loss under one request to all peers

Callers saw: in a large group a request that crashes targets met instances that knew of none of its losses and crashed more targets there.

Cause: a loss is reported to 12 random peers, in the belief that several instances find the same loss. Only one instance knows which request the target had been sent; of 83 instances 70 did not hear of it from the report.

Evidence: TestSecondLossUnderARequestIsReportedToAllPeers failed with the audience as it was.

Before: some peers; after: all.

--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -128,7 +129,8 @@
   }
 
   /// Calls `callback` for each target that the instance finds lost.
-  void OnTargetLost(std::function<void(const TargetLoss&, uint64_t)> callback) {
+  void OnTargetLost(
+      std::function<void(const TargetLoss&, uint64_t, LossAudience)> callback) {
     std::atomic<bool> is_done = false;
     asio::post(io_, [&] {
       forwarder_->on_target_lost = std::move(callback);
@@ -252,6 +254,7 @@
   CPPUNIT_TEST(TestCallsWithoutBodyAreNotBlocked);
   CPPUNIT_TEST(TestCrashingRequestIsRecognizedByPathWorkspaceAndBody);
   CPPUNIT_TEST(TestRequestBlockedDuringWaitIsNotSent);
+  CPPUNIT_TEST(TestSecondLossUnderARequestIsReportedToAllPeers);
   CPPUNIT_TEST(TestRequestLimitHoldsForAllInstancesTogether);
   CPPUNIT_TEST(TestRequestBeyondAllLimitsIsRefusedAtOnce);
   CPPUNIT_TEST(TestLiftedLimitHoldsNoLonger);
@@ -736,8 +739,8 @@
       return false;
     });
     std::atomic<uint64_t> content_hash = 0;
-    instance_->OnTargetLost(
-        [&](const TargetLoss&, uint64_t hash) { content_hash = hash; });
+    instance_->OnTargetLost([&](const TargetLoss&, uint64_t hash,
+                                LossAudience) { content_hash = hash; });
     // The retry is granted only after peers have reported further losses.
     instance_->UseOnlyBorrowedRetries(
         [&](const std::string&, int n, const std::function<void(int)>& done) {
@@ -792,6 +795,29 @@
     }
   }
 
+  void TestSecondLossUnderARequestIsReportedToAllPeers() {
+    AddEngines(6, [](LoopbackConnection&, const std::string&) {
+      PauseBetweenLosses();
+      return false;
+    });
+    std::mutex mutex;
+    std::map<std::string, LossAudience> reported;
+    std::vector<LossAudience> audiences;
+    instance_->OnTargetLost([&](const TargetLoss& target, uint64_t hash,
+                                LossAudience audience) {
+      const std::lock_guard lock(mutex);
+      if (hash != 0 && reported.emplace(target.process.id, audience).second) {
+        audiences.push_back(audience);
+      }
+    });
+    ReadStream("r1", "");
+    const std::lock_guard lock(mutex);
+    EXPECT(audiences.size() >= 3);
+    EXPECT(audiences[0] == LossAudience::kSomePeers);
+    EXPECT(audiences[1] == LossAudience::kAllPeers);
+    EXPECT(audiences[2] == LossAudience::kAllPeers);
+  }
+
   // A target that names a limit gets what the limit allows, and not more from
   // two instances than from one. Requests beyond it go to the other target.
   void TestRequestLimitHoldsForAllInstancesTogether() {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -61,7 +61,12 @@
              {"loss_events", count.events},
              {"blocked", crashing_requests.IsBlocked(content_hash, now)}});
   if (source == LossSource::kThisInstance && on_target_lost) {
-    on_target_lost(target, content_hash);
+    const bool is_shared =
+        content_hash != 0 &&
+        count.events >= CrashingRequestTracker::kLossEventsUntilShared;
+    on_target_lost(
+        target, content_hash,
+        is_shared ? LossAudience::kAllPeers : LossAudience::kSomePeers);
   }
 }
 
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -26,6 +26,14 @@
     "this_instance",
     "peer");
 
+/// The peers to which a lost target is reported.
+enum class LossAudience : uint8_t {
+  /// A few random peers; enough for a loss that other instances find as well.
+  kSomePeers,
+  /// All peers; for a loss that only this instance can connect with a request.
+  kAllPeers,
+};
+
 struct ForwarderOptions {
   /// Name of this instance.
   std::string instance;
@@ -80,7 +88,9 @@
   /// Called when this instance has found a target lost. `content_hash` is the
   /// hash of a request that may have crashed the target, or zero if there is
   /// none.
-  std::function<void(const TargetLoss& target, uint64_t content_hash)>
+  std::function<void(const TargetLoss& target,
+                     uint64_t content_hash,
+                     LossAudience audience)>
       on_target_lost;
   /// Borrows retries for a service from the shared pool. `done` is called once
   /// with the number granted.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,9 +74,10 @@
           });
         };
     forwarder_.on_target_lost = [this](const forward::TargetLoss& target,
-                                       uint64_t content_hash) {
-      asio::post(control_, [this, target, content_hash] {
-        peer_link_->ReportLostTarget(target, content_hash);
+                                       uint64_t content_hash,
+                                       forward::LossAudience audience) {
+      asio::post(control_, [this, target, content_hash, audience] {
+        peer_link_->ReportLostTarget(target, content_hash, audience);
       });
     };
   }
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -335,7 +335,8 @@
 }
 
 void PeerLink::ReportLostTarget(const forward::TargetLoss& target,
-                                uint64_t content_hash) {
+                                uint64_t content_hash,
+                                forward::LossAudience audience) {
   auto peers = membership_.Table().Reachable();
   peer::ReportDeathRequest request;
   request.set_target(target.process.id);
@@ -345,7 +346,10 @@
   if (content_hash != 0) {
     request.add_victims()->set_content_digest(content_hash);
   }
-  for (size_t i = 0; i < kLossReportFanout && !peers.empty(); ++i) {
+  const size_t n_receivers = audience == forward::LossAudience::kAllPeers
+                                 ? peers.size()
+                                 : std::min(kLossReportFanout, peers.size());
+  for (size_t i = 0; i < n_receivers; ++i) {
     const size_t n = base::RandomNumber() % peers.size();
     client_.ReportDeath(peers[n].address, request);
     peers.erase(peers.begin() + static_cast<long>(n));
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -9,6 +9,7 @@
 
 #include "base/metrics.h"
 #include "catalog/catalog.h"
+#include "forward/forwarder.h"
 #include "forward/suspected_request.h"
 #include "forward/target_loss.h"
 #include "gateway/catalog_source.h"
@@ -121,7 +122,8 @@
 
   /// Reports a lost target to peers. Runs on the control thread.
   void ReportLostTarget(const forward::TargetLoss& target,
-                        uint64_t content_hash);
+                        uint64_t content_hash,
+                        forward::LossAudience audience);
 
  private:
   peer::MembershipCallbacks MakeMembershipCallbacks();
