Tell peers of an answered request only if they may suspect it

Cause: every request that met one lost target and was answered then was kept and told to peers, which could displace the 32 requests that matter. Found while reading the diff.

Change: such a request is forgotten as before; only one that was told to peers is kept with its answer. A common cause that any instance has found is kept. TestAnsweredRequestWithOneLossIsNotShared was not run red.

--- a/src/forward/crashing_request_tracker.cc
+++ b/src/forward/crashing_request_tracker.cc
@@ -32,11 +32,11 @@
     return *it;
   }
   recent_losses_.push_back({target, now, now});
-  MarkCommonCauses(&recent_losses_.back());
+  FindCommonCauses(&recent_losses_.back());
   return recent_losses_.back();
 }
 
-void CrashingRequestTracker::MarkCommonCauses(Loss* loss) {
+void CrashingRequestTracker::FindCommonCauses(Loss* loss) {
   for (Loss& it : recent_losses_) {
     if (it.target.service != loss->target.service ||
         it.target.failure_domain != loss->target.failure_domain ||
@@ -47,12 +47,12 @@
     loss->has_common_cause = true;
     if (!it.has_common_cause) {
       it.has_common_cause = true;
-      MarkCommonCauseOf(it);
+      CopyCommonCause(it);
     }
   }
 }
 
-void CrashingRequestTracker::MarkCommonCauseOf(const Loss& loss) {
+void CrashingRequestTracker::CopyCommonCause(const Loss& loss) {
   for (auto& it : losses_by_content_) {
     const auto found = it.second.processes.find(loss.target.process);
     if (found != it.second.processes.end() &&
@@ -113,10 +113,16 @@
 void CrashingRequestTracker::OnRequestAnswered(uint64_t content_hash,
                                                base::Millis now) {
   const auto it = losses_by_content_.find(content_hash);
-  if (it != losses_by_content_.end()) {
-    it->second.processes.clear();
-    it->second.answered_at = now;
+  if (it == losses_by_content_.end()) {
+    return;
   }
+  if (it->second.Count().events < kLossEventsUntilShared) {
+    losses_by_content_.erase(it);
+    return;
+  }
+  // Kept, so that peers clear the losses as well.
+  it->second.processes.clear();
+  it->second.answered_at = now;
 }
 
 void CrashingRequestTracker::OnSuspectedByPeer(const SuspectedRequest& request,
@@ -132,9 +138,11 @@
   }
   for (const SuspectedRequest::Loss& it : request.losses) {
     const base::Millis lost_at = now - it.age;
-    losses.processes.emplace(
-        it.target.process,
-        Loss{it.target, lost_at, lost_at, it.has_common_cause});
+    Loss& loss = losses.processes
+                     .try_emplace(it.target.process,
+                                  Loss{it.target, lost_at, lost_at, false})
+                     .first->second;
+    loss.has_common_cause = loss.has_common_cause || it.has_common_cause;
     losses.last_lost_at = std::max(losses.last_lost_at, lost_at);
   }
   std::erase_if(losses.processes, [&](const auto& it) {
--- a/src/forward/crashing_request_tracker.h
+++ b/src/forward/crashing_request_tracker.h
@@ -24,18 +24,18 @@
 /// Blocks requests that are suspected to crash the targets they are sent to. A
 /// target counts as lost when its connection breaks or when it is unreachable
 /// or silent, as observed by this instance or reported by a peer. The loss
-/// counts against a request that the target had not begun to answer. Requests
-/// are identified by a hash of their content, because callers send a failed
-/// request again, to any instance. When several targets of a service in one
-/// failure domain are lost at about the same time, the losses have a common
-/// cause; together they count as one loss and as weaker evidence. Reads no
-/// clock; all methods get the time as an argument.
+/// counts against a request that the target was about to run or had just begun
+/// to run. Requests are identified by a hash of their content, because callers
+/// send a failed request again, to any instance. When several targets of a
+/// service in one failure domain are lost at about the same time, the losses
+/// have a common cause; together they count as one loss and as weaker evidence.
+/// Reads no clock; all methods get the time as an argument.
 class CrashingRequestTracker {
  public:
-  /// A request is blocked when this many lost targets count against it. A
-  /// harmless request is rarely blocked: even when failure domains crash one
-  /// after the other, few requests are sent to three targets that are lost
-  /// before they answer.
+  /// A request is blocked when this many losses without a common cause count
+  /// against it. A harmless request is rarely blocked: even when failure
+  /// domains crash one after the other, few requests are sent to three targets
+  /// that are lost before they answer.
   static constexpr size_t kTargetLossesUntilBlocked = 3;
   /// A request is also blocked when this many losses count against it, of which
   /// those with the same common cause count once.
@@ -109,10 +109,11 @@
   /// Returns the entry of `recent_losses_` for a target that is still lost
   /// since an earlier report, or a new entry.
   const Loss& FindOrAddLoss(const TargetLoss& target, base::Millis now);
-  /// Sets `has_common_cause` of `loss` and of the recent losses that have a
-  /// common cause with it.
-  void MarkCommonCauses(Loss* loss);
-  void MarkCommonCauseOf(const Loss& loss);
+  /// Finds the recent losses that have a common cause with the new `loss`; sets
+  /// `has_common_cause` of all of them.
+  void FindCommonCauses(Loss* loss);
+  /// Sets `has_common_cause` of `loss` wherever it counts against a request.
+  void CopyCommonCause(const Loss& loss);
   void RemoveExpired(base::Millis now);
 
   std::map<uint64_t, RequestLosses> losses_by_content_;
--- a/src/forward/crashing_request_tracker_test.cc
+++ b/src/forward/crashing_request_tracker_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(TestTrackedRequestsAreBounded);
   CPPUNIT_TEST(TestRestartedInstanceLearnsLossesFromPeer);
   CPPUNIT_TEST(TestAnswerClearsLossesAtPeers);
+  CPPUNIT_TEST(TestAnsweredRequestWithOneLossIsNotShared);
   CPPUNIT_TEST(TestTargetThatStaysDownExcusesNoOtherLoss);
   CPPUNIT_TEST(TestLossInAnotherServiceExcusesNoLoss);
   CPPUNIT_TEST(TestCrashesOfARestartedTargetCountEach);
@@ -145,6 +146,16 @@
     EXPECT(!tracker.IsBlocked(1, {300}));
   }
 
+  // Peers are told of few requests; harmless ones must not displace others.
+  void TestAnsweredRequestWithOneLossIsNotShared() {
+    CrashingRequestTracker tracker;
+    for (uint64_t i = 1; i <= 100; ++i) {
+      tracker.OnTargetLost(i, Lost("a", "d0"), {0});
+      tracker.OnRequestAnswered(i, {10});
+    }
+    EXPECT(tracker.SharedRequests({20}).empty());
+  }
+
   // Each failed connection to a target that is down reports it as lost again.
   void TestTargetThatStaysDownExcusesNoOtherLoss() {
     CrashingRequestTracker tracker;
