--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -494,6 +494,7 @@
     const Millis began_at = Clock::Now();
     const int64_t first_event = last_received_event_;
     run_began_at_.reset();
+    has_answer_header_ = false;
     StartCopyFor(placement);
     LogSend(placement, reason);
     forwarder_->metrics->Add(base::Counter::kSends);
@@ -732,6 +733,7 @@
                           const ResponseMetadata& metadata,
                           TargetConnection* connection) {
     const Millis now = Clock::Now();
+    has_answer_header_ = true;
     forwarder_->selector.OnBytesReceived(placement.id, now);
     forwarder_->OnResponse(placement.id, metadata);
     if (metadata.load) {
@@ -1121,14 +1123,17 @@
   void LogSendEnded(const Placement& placement,
                     const SendResult& result,
                     Millis took) const {
-    base::Log(base::LogLevel::kInfo, "send_ended",
-              {{"request", request_info_.id},
-               {"attempt", n_send_attempts_},
-               {"target", placement.id},
-               {"outcome", kSendOutcomeNames.NameOf(result.outcome)},
-               {"reason", base::kReasonNames.NameOf(result.reason)},
-               {"event", last_received_event_},
-               {"took_ms", took.count}});
+    base::Log(
+        base::LogLevel::kInfo, "send_ended",
+        {{"request", request_info_.id},
+         {"attempt", n_send_attempts_},
+         {"target", placement.id},
+         {"outcome", kSendOutcomeNames.NameOf(result.outcome)},
+         {"reason", base::kReasonNames.NameOf(result.reason)},
+         {"event", last_received_event_},
+         {"has_answer_header", has_answer_header_},
+         {"run_ms", run_began_at_ ? (Clock::Now() - *run_began_at_).count : 0},
+         {"took_ms", took.count}});
   }
 
   void LogEventOutOfOrder(const Placement& placement,
@@ -1146,6 +1151,9 @@
                {"status", status},
                {"reason", base::kReasonNames.NameOf(reason)},
                {"content", content_hash_},
+               {"prompt_parts",
+                fmt::format("{:x}",
+                            fmt::join(request_info_.shared_prompt_parts, ","))},
                {"route", route_ == nullptr ? "" : route_->name},
                {"workspace", workspace_},
                {"version", catalog_.configuration == nullptr
@@ -1210,6 +1218,8 @@
   int64_t last_received_event_ = 0;
   /// Id of the last event written to the caller.
   int64_t last_written_event_ = 0;
+  /// True when the target of the send in progress has sent an answer header.
+  bool has_answer_header_ = false;
   /// When the send in progress delivered its first event.
   std::optional<Millis> run_began_at_;
   bool is_header_written_ = false;
--- a/src/forward/message.h
+++ b/src/forward/message.h
@@ -32,6 +32,9 @@
   /// Identifies the prompt: requests with equal values have the same prompt.
   /// Empty when not stated.
   std::string prompt;
+  /// Hashes of the ids of the prompt's parts, in order, without the last part.
+  /// Other requests may have the same parts, except the last one.
+  std::vector<uint64_t> shared_prompt_parts;
   /// The caller's estimate of the response length, in tokens.
   std::optional<int64_t> expected_output_tokens;
 };
--- a/tests/plain_dialect.h
+++ b/tests/plain_dialect.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "base/hash.h"
 #include "forward/dialect.h"
 
 namespace daisypond::tests {
@@ -50,6 +51,11 @@
     metadata.api_key = Text(from, "Key");
     metadata.last_event_id = Number(from, "After-Event");
     metadata.prompt = Text(from, "Prompt");
+    for (size_t n = metadata.prompt.find(','), at = 0; n != std::string::npos;
+         at = n + 1, n = metadata.prompt.find(',', at)) {
+      metadata.shared_prompt_parts.push_back(
+          base::Hash(metadata.prompt.substr(at, n - at)));
+    }
     return metadata;
   }
 
