--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -250,6 +250,7 @@
   CPPUNIT_TEST(TestRequestThatCrashesTargetsIsNoLongerSent);
   CPPUNIT_TEST(TestRequestThatCrashesTargetsAfterFirstEventIsNoLongerSent);
   CPPUNIT_TEST(TestRequestThatSilencesTargetsIsNoLongerSent);
+  CPPUNIT_TEST(TestRequestsWithAPromptPartThatCrashesTargetsAreNotSent);
   CPPUNIT_TEST(TestCallThatCrashesTargetsIsNoLongerSent);
   CPPUNIT_TEST(TestCallsWithoutBodyAreNotBlocked);
   CPPUNIT_TEST(TestCrashingRequestIsRecognizedByPathWorkspaceAndBody);
@@ -685,6 +686,34 @@
     ExpectNoLongerSent([this](const std::string& id) { ReadStream(id, ""); });
   }
 
+  // No two requests are alike; each target ends soon after it began to answer.
+  void TestRequestsWithAPromptPartThatCrashesTargetsAreNotSent() {
+    AddEngines(12, [this](LoopbackConnection& connection,
+                          const std::string& header) {
+      if (HeaderField(header, "Prompt").find("deadly") == std::string::npos) {
+        return Serve(connection, header, 3, 3);
+      }
+      ++n_sends_;
+      PauseBetweenLosses();
+      connection.Send(MakeStreamHeader(HeaderField(header, "Request-Id")));
+      return false;
+    });
+    EXPECT(ReadPromptStream("r0", "common,own0").ends_with("0\r\n\r\n"));
+    n_sends_ = 0;
+    for (int i = 1; i <= 3; ++i) {
+      ReadPromptStream(fmt::format("r{}", i),
+                       fmt::format("common,deadly,own{}", i));
+    }
+    EXPECT(n_sends_ >= 5);
+    n_sends_ = 0;
+    for (int i = 4; i <= 8; ++i) {
+      ReadPromptStream(fmt::format("r{}", i),
+                       fmt::format("common,deadly,own{}", i));
+    }
+    EXPECT_EQ(0, n_sends_.load());
+    EXPECT(ReadPromptStream("r9", "common,own9").ends_with("0\r\n\r\n"));
+  }
+
   void TestCallThatCrashesTargetsIsNoLongerSent() {
     for (int i = 0; i < 6; ++i) {
       AddTarget([this](LoopbackConnection&, const std::string&) {
@@ -992,6 +1021,15 @@
     return caller.connection->ReadUntil("\r\n0\r\n\r\n", kStreamMs);
   }
 
+  /// Requests a stream under a path of its own.
+  std::string ReadPromptStream(const std::string& id,
+                               const std::string& prompt) {
+    Caller caller(instance_->Port());
+    caller.SendRequest("GET", "/stream/" + id, id,
+                       "Connection: close\r\nPrompt: " + prompt + "\r\n");
+    return caller.connection->ReadUntil("\r\n0\r\n\r\n", kStreamMs);
+  }
+
   /// Sends the events that follow the event id in the After-Event field, up to
   /// id `n`. Closes the connection after `n_before_break` events if event `n`
   /// has not been sent by then.
