Block prompt parts that crash targets

Cause: evidence belonged to one request (path, workspace, body), so each request with the part started at zero (hypothesis 1).

Change: a loss counts against each prompt part but the last, by the id of the part. A run that goes on for a second after its first event clears all its parts of losses up to that first event. The part with the most losses, less the weight of its recent answers, is blocked after four losses of two requests; its losses no longer count against other parts and requests. Peers are told of the evidence at once (parts without recent answers, or with two losses) and again in the periodic messages. A part is blocked until 120 s after its latest loss.

--- a/src/forward/crashing_request_group_test.cc
+++ b/src/forward/crashing_request_group_test.cc
@@ -15,6 +15,10 @@
 
 using base::Millis;
 
+RequestContent Request(uint64_t hash) {
+  return {hash, {}};
+}
+
 /// A group of instances that get a request which crashes each target that runs
 /// it. Links lose reports of losses, instances restart, and targets crash for
 /// other reasons, alone or with their whole failure domain.
@@ -115,7 +119,7 @@
         const TargetLoss lost = targets_[static_cast<size_t>(i)];
         Crash(i);
         for (Instance& it : instances_) {
-          it.tracker.OnTargetLost(0, lost, now_);
+          it.tracker.OnTargetLost(Request(0), lost, now_);
         }
       }
     }
@@ -133,7 +137,7 @@
     if (instance.sends_left == 0 || instance.running_on >= 0) {
       return;
     }
-    if (instance.tracker.IsBlocked(kContent, now_)) {
+    if (instance.tracker.IsBlocked(Request(kContent), now_)) {
       instance.sends_left = 0;
       return;
     }
@@ -157,10 +161,10 @@
 
   void ReportLoss(size_t index) {
     const TargetLoss lost = running_[index];
-    instances_[index].tracker.OnTargetLost(kContent, lost, now_);
+    instances_[index].tracker.OnTargetLost(Request(kContent), lost, now_);
     for (size_t i = 0; i < instances_.size(); ++i) {
       if (i != index && !Chance(kReportLossPercent * 10)) {
-        instances_[i].tracker.OnTargetLost(kContent, lost, now_);
+        instances_[i].tracker.OnTargetLost(Request(kContent), lost, now_);
       }
     }
   }
@@ -176,14 +180,10 @@
   void ExchangeMessages(size_t one, size_t other) {
     CrashingRequestTracker& first = instances_[one].tracker;
     CrashingRequestTracker& second = instances_[other].tracker;
-    const auto from_first = first.SharedRequests(now_);
-    const auto from_second = second.SharedRequests(now_);
-    for (const SuspectedRequest& it : from_first) {
-      second.OnSuspectedByPeer(it, now_);
-    }
-    for (const SuspectedRequest& it : from_second) {
-      first.OnSuspectedByPeer(it, now_);
-    }
+    const auto from_first = first.SharedSuspects(now_);
+    const auto from_second = second.SharedSuspects(now_);
+    second.OnSuspectedByPeer(from_first, now_);
+    first.OnSuspectedByPeer(from_second, now_);
   }
 
   std::mt19937 random_;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -132,7 +132,8 @@
                     StoppingRetryAfter());
     }
     service_name_ = ChooseService();
-    content_hash_ =
+    content_.prompt_parts = request_info_.shared_prompt_parts;
+    content_.hash =
         base::Hash(std::string(PathWithoutQuery(request_.target)) + '\n' +
                    (workspace_.empty() ? request_info_.api_key : workspace_) +
                    '\n' + request_.body);
@@ -292,7 +293,7 @@
 
   /// True when the request is suspected to crash targets.
   bool IsBlocked() const {
-    return forwarder_->crashing_requests.IsBlocked(content_hash_, Clock::Now());
+    return forwarder_->crashing_requests.IsBlocked(content_, Clock::Now());
   }
 
   /// True when the request may wait until a target becomes available. Only a
@@ -494,6 +495,7 @@
     const Millis began_at = Clock::Now();
     const int64_t first_event = last_received_event_;
     run_began_at_.reset();
+    is_answer_recorded_ = false;
     has_answer_header_ = false;
     StartCopyFor(placement);
     LogSend(placement, reason);
@@ -549,29 +551,30 @@
     } else {
       forwarder_->selector.OnFailure(placement.id, now);
     }
-    const uint64_t suspect_hash =
-        MayHaveCrashedTarget(result, now) ? content_hash_ : 0;
     forwarder_->OnTargetLost({{placement.id, placement.started_at},
                               service_name_,
                               placement.failure_domain},
-                             suspect_hash, LossSource::kThisInstance);
+                             SuspectedContent(result, now),
+                             LossSource::kThisInstance);
     last_lost_domain_ = placement.failure_domain;
   }
 
-  /// True when the send may have crashed the target: the target was lost before
-  /// it ran the request, or soon after it had begun to.
-  bool MayHaveCrashedTarget(const SendResult& result, Millis now) const {
+  /// Returns what of the request may have crashed the target: nothing if the
+  /// target had run the request for some time.
+  RequestContent SuspectedContent(const SendResult& result, Millis now) const {
     if (result.outcome != SendOutcome::kUnknown ||
         (run_began_at_ && now - *run_began_at_ >= kCrashAttributionPeriod)) {
-      return false;
+      return {};
     }
     if (route_->is_stream) {
-      return true;
+      return content_;
+    }
+    if (result.reason != base::Reason::kTargetBroken) {
+      return {};
     }
     // Calls without a body are too much alike: one path may serve all lookups
     // of a workspace.
-    return result.reason == base::Reason::kTargetBroken &&
-           !request_.body.empty();
+    return {request_.body.empty() ? 0 : content_.hash, content_.prompt_parts};
   }
 
   bool MayCopyRuns() const {
@@ -903,8 +906,7 @@
       text = fallback_answer_;
     } else {
       forwarder_->selector.OnSuccess(placement.id, Clock::Now());
-      forwarder_->crashing_requests.OnRequestAnswered(content_hash_,
-                                                      Clock::Now());
+      forwarder_->OnRequestAnswered(content_, Clock::Now());
     }
     active_connection_.reset();
     LogAnswer(code, base::Reason::kNone);
@@ -969,6 +971,9 @@
         run_began_at_ = run_began_at_.value_or(now);
         forwarder_->metrics->Add(base::Counter::kEventsRelayed);
       }
+      if (!text.empty() && now - *run_began_at_ >= kCrashAttributionPeriod) {
+        RecordAnswer();
+      }
       if (!text.empty() && MayCopyRuns() && engine_traits_->supports_kv_copy) {
         copy_manager_->MaintainCopy(CopyPlacementRequest(placement), now);
       }
@@ -991,14 +996,22 @@
     ReuseOrClose(connection, *reader, true);
     active_connection_.reset();
     forwarder_->selector.OnSuccess(placement.id, Clock::Now());
-    forwarder_->crashing_requests.OnRequestAnswered(content_hash_,
-                                                    Clock::Now());
+    RecordAnswer();
     LogAnswer(reader->Status(), base::Reason::kNone);
     const std::string last(kLastChunk);
     const ConnectionReuse written = co_await WriteToCaller(last, reuse);
     co_return SendResult{SendOutcome::kAnswered, base::Reason::kNone, written};
   }
 
+  /// Records, once a run, that its target did not crash when it began to
+  /// answer.
+  void RecordAnswer() {
+    if (run_began_at_ && !is_answer_recorded_) {
+      is_answer_recorded_ = true;
+      forwarder_->OnRequestAnswered(content_, *run_began_at_);
+    }
+  }
+
   /// True when an available engine holds a copy of the current run's KV cache
   /// and can resume the run. Abandoning a run that is merely slow is then
   /// cheap.
@@ -1150,10 +1163,9 @@
               {{"request", request_info_.id},
                {"status", status},
                {"reason", base::kReasonNames.NameOf(reason)},
-               {"content", content_hash_},
+               {"content", content_.hash},
                {"prompt_parts",
-                fmt::format("{:x}",
-                            fmt::join(request_info_.shared_prompt_parts, ","))},
+                fmt::format("{:x}", fmt::join(content_.prompt_parts, ","))},
                {"route", route_ == nullptr ? "" : route_->name},
                {"workspace", workspace_},
                {"version", catalog_.configuration == nullptr
@@ -1173,8 +1185,7 @@
   const catalog::Route* route_ = nullptr;
   const catalog::EngineTraits* engine_traits_ = nullptr;
   std::string service_name_;
-  /// Equal for requests of one workspace with the same path and body.
-  uint64_t content_hash_ = 0;
+  RequestContent content_;
   std::string workspace_;
   std::optional<int> priority_;
   /// When the caller stops waiting for the answer.
@@ -1222,6 +1233,8 @@
   bool has_answer_header_ = false;
   /// When the send in progress delivered its first event.
   std::optional<Millis> run_began_at_;
+  /// True when RecordAnswer() has been called for the send in progress.
+  bool is_answer_recorded_ = false;
   bool is_header_written_ = false;
   Millis last_write_at_;
   Millis longest_gap_;
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -143,7 +143,7 @@
 
   /// To be called on the instance's thread.
   void ReportLossFromPeer(const TargetLoss& target, uint64_t content_hash) {
-    forwarder_->OnTargetLost(target, content_hash, LossSource::kPeer);
+    forwarder_->OnTargetLost(target, {content_hash, {}}, LossSource::kPeer);
   }
 
   template <typename Take>
@@ -649,8 +649,8 @@
   void TestRequestThatCrashesTargetsIsNoLongerSent() {
     AddEngines(6, [this](LoopbackConnection&, const std::string&) {
       ++n_sends_;
-      std::this_thread::sleep_for(std::chrono::milliseconds(
-          CrashingRequestTracker::kCorrelatedLossWindow.count + 50));
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(kCorrelatedLossWindow.count + 50));
       return false;
     });
     for (int i = 0; i < 3; ++i) {
@@ -909,8 +909,8 @@
 
   /// Keeps losses far enough apart that they have no common cause.
   static void PauseBetweenLosses() {
-    std::this_thread::sleep_for(std::chrono::milliseconds(
-        CrashingRequestTracker::kCorrelatedLossWindow.count + 50));
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(kCorrelatedLossWindow.count + 50));
   }
 
   /// Sends a request that targets do not survive until it is blocked. Checks
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -45,46 +45,77 @@
 }
 
 void Forwarder::OnTargetLost(const TargetLoss& target,
-                             uint64_t content_hash,
+                             const RequestContent& content,
                              LossSource source) {
   const base::Millis now = base::Clock::Now();
-  crashing_requests.OnTargetLost(content_hash, target, now);
-  const LossCount count = crashing_requests.CountLosses(content_hash);
+  crashing_requests.OnTargetLost(content, target, now);
+  const LossCount count =
+      crashing_requests.CountLosses({SuspectKind::kRequest, content.hash});
   base::Log(base::LogLevel::kInfo, "target_lost",
             {{"target", target.process.id},
              {"started_at", target.process.started_at},
              {"service", target.service},
              {"domain", target.failure_domain},
              {"source", kLossSourceNames.NameOf(source)},
-             {"content", content_hash},
+             {"content", content.hash},
+             {"prompt_parts",
+              fmt::format("{:x}", fmt::join(content.prompt_parts, ","))},
              {"isolated_losses", count.isolated},
              {"loss_events", count.events},
-             {"blocked", crashing_requests.IsBlocked(content_hash, now)}});
+             {"blocked", crashing_requests.IsBlocked(content, now)}});
   if (source == LossSource::kThisInstance && on_target_lost) {
     const bool is_shared =
-        content_hash != 0 &&
+        content.hash != 0 &&
         count.events >= CrashingRequestTracker::kLossEventsUntilShared;
     on_target_lost(
-        target, content_hash,
+        target, content.hash,
         is_shared ? LossAudience::kAllPeers : LossAudience::kSomePeers);
   }
+  OnSuspectsChanged();
 }
 
-void Forwarder::OnSuspectedByPeer(const SuspectedRequest& request) {
-  const base::Millis now = base::Clock::Now();
-  const uint64_t content_hash = request.content_hash;
-  const size_t known = crashing_requests.CountLosses(content_hash).events;
-  crashing_requests.OnSuspectedByPeer(request, now);
-  const LossCount count = crashing_requests.CountLosses(content_hash);
-  if (count.events == known) {
-    return;
+void Forwarder::OnRequestAnswered(const RequestContent& content,
+                                  base::Millis began_at) {
+  crashing_requests.OnRequestAnswered(content, began_at, base::Clock::Now());
+  OnSuspectsChanged();
+}
+
+void Forwarder::OnSuspectedByPeer(const std::vector<Suspect>& suspects) {
+  std::vector<size_t> known_events;
+  for (const Suspect& it : suspects) {
+    known_events.push_back(crashing_requests.CountLosses(it.id).events);
+  }
+  crashing_requests.OnSuspectedByPeer(suspects, base::Clock::Now());
+  for (size_t i = 0; i < suspects.size(); ++i) {
+    const SuspectId id = suspects[i].id;
+    const LossCount count = crashing_requests.CountLosses(id);
+    if (count.events == known_events[i]) {
+      continue;
+    }
+    base::Log(base::LogLevel::kInfo, "suspected_by_peer",
+              {{"kind", kSuspectKindNames.NameOf(id.kind)},
+               {"content", fmt::format("{:x}", id.hash)},
+               {"isolated_losses", count.isolated},
+               {"loss_events", count.events},
+               {"known_events", known_events[i]},
+               {"answers", suspects[i].answers}});
+  }
+  OnSuspectsChanged();
+}
+
+void Forwarder::OnSuspectsChanged() {
+  for (const PromptPartChange& it : crashing_requests.TakePartChanges()) {
+    base::Log(base::LogLevel::kWarning,
+              it.is_blocked ? "prompt_part_blocked" : "prompt_part_released",
+              {{"prompt_part", fmt::format("{:x}", it.prompt_part)},
+               {"loss_events", it.losses.events},
+               {"isolated_losses", it.losses.isolated},
+               {"requests", it.requests},
+               {"answers", it.answers}});
+  }
+  if (crashing_requests.HasUnsharedParts() && on_unshared_parts) {
+    on_unshared_parts();
   }
-  base::Log(base::LogLevel::kInfo, "request_suspected",
-            {{"content", content_hash},
-             {"isolated_losses", count.isolated},
-             {"loss_events", count.events},
-             {"known_events", known},
-             {"blocked", crashing_requests.IsBlocked(content_hash, now)}});
 }
 
 void Forwarder::OnResponse(const std::string& target,
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/metrics.h"
 #include "base/name_table.h"
@@ -12,6 +13,7 @@
 #include "forward/connection_pool.h"
 #include "forward/crashing_request_tracker.h"
 #include "forward/message.h"
+#include "forward/request_content.h"
 #include "forward/request_permit_pool.h"
 #include "forward/retry_limit.h"
 #include "forward/target_loss.h"
@@ -62,13 +64,17 @@
   void BorrowMissingRetries(const std::string& service);
 
   /// Records the loss of a target, found by this instance or reported by a
-  /// peer. `content_hash` as for `on_target_lost`.
+  /// peer. `content` is that of a request that may have crashed the target.
   void OnTargetLost(const TargetLoss& target,
-                    uint64_t content_hash,
+                    const RequestContent& content,
                     LossSource source);
 
-  /// Adds what a peer knows of a request that may crash targets.
-  void OnSuspectedByPeer(const SuspectedRequest& request);
+  /// Records that a target began to answer a request at `began_at` and went on.
+  void OnRequestAnswered(const RequestContent& content, base::Millis began_at);
+
+  /// Adds what a peer knows of requests and prompt parts that may crash
+  /// targets.
+  void OnSuspectedByPeer(const std::vector<Suspect>& suspects);
 
   /// Records the limit that a response of the target states, or that it states
   /// none.
@@ -92,6 +98,9 @@
                      uint64_t content_hash,
                      LossAudience audience)>
       on_target_lost;
+  /// Called when all peers are to be told of prompt parts that may crash
+  /// targets; see CrashingRequestTracker::TakeUnsharedParts().
+  std::function<void()> on_unshared_parts;
   /// Borrows retries for a service from the shared pool. `done` is called once
   /// with the number granted.
   std::function<void(const std::string& service,
@@ -126,6 +135,11 @@
   base::Millis out_of_rotation_at;
   /// Total size of the requests and answers that are currently in memory.
   size_t held_bytes = 0;
+
+ private:
+  /// Logs which prompt parts are blocked now or not any more, and passes on
+  /// that peers are to be told of some.
+  void OnSuspectsChanged();
 };
 
 }  // namespace daisypond::forward
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,11 @@
                 });
           });
         };
+    forwarder_.on_unshared_parts = [this] {
+      if (!std::exchange(is_sharing_parts_, true)) {
+        asio::co_spawn(traffic_, ShareParts(), asio::detached);
+      }
+    };
     forwarder_.on_target_lost = [this](const forward::TargetLoss& target,
                                        uint64_t content_hash,
                                        forward::LossAudience audience) {
@@ -157,6 +162,8 @@
   static constexpr base::Millis kDrainPollPeriod{50};
   static constexpr base::Millis kMaintenancePeriod{500};
   static constexpr base::Millis kDropMissingTargetsPeriod{200};
+  // Losses come in groups; one message tells peers of several.
+  static constexpr base::Millis kShareDelay{50};
   // How long a call to the table service waits for a change of the targets if
   // this instance reads them for its peers. Each answer confirms the targets,
   // so the wait must stay well below PeerLink::kMaximumFreshAge. A short wait
@@ -285,7 +292,7 @@
       timer.expires_after(kMaintenancePeriod.ToChrono());
       co_await timer.async_wait(net::kAsTuple);
       forwarder_.connection_pool.CloseExpired(base::Clock::Now());
-      PublishSuspectedRequests();
+      PublishSuspects();
       if (forwarder_.is_stopping) {
         CloseIdleSessions();
       }
@@ -344,22 +351,18 @@
       asio::post(traffic_, [this, target, content_hash] {
         forwarder_.selector.OnPeerReportedFailure(target.process.id,
                                                   base::Clock::Now());
-        forwarder_.OnTargetLost(target, content_hash,
+        forwarder_.OnTargetLost(target, {content_hash, {}},
                                 forward::LossSource::kPeer);
       });
     };
-    callbacks.suspected_requests = [this] {
-      return forward::Aged(suspected_requests_,
-                           base::Clock::Now() - suspected_requests_at_);
+    callbacks.suspects = [this] {
+      return forward::Aged(suspects_, base::Clock::Now() - suspects_at_);
+    };
+    callbacks.on_suspects = [this](
+                                const std::vector<forward::Suspect>& suspects) {
+      asio::post(traffic_,
+                 [this, suspects] { forwarder_.OnSuspectedByPeer(suspects); });
     };
-    callbacks.on_suspected_requests =
-        [this](const std::vector<forward::SuspectedRequest>& requests) {
-          asio::post(traffic_, [this, requests] {
-            for (const forward::SuspectedRequest& it : requests) {
-              forwarder_.OnSuspectedByPeer(it);
-            }
-          });
-        };
     callbacks.on_member_count = [this](size_t n) { OnMemberCount(n); };
     return callbacks;
   }
@@ -389,14 +392,27 @@
     });
   }
 
-  /// Passes the requests of which peers are to be told from the traffic thread
+  /// Passes the suspects of which peers are to be told from the traffic thread
   /// to the control thread.
-  void PublishSuspectedRequests() {
+  void PublishSuspects() {
     const base::Millis now = base::Clock::Now();
-    auto requests = forwarder_.crashing_requests.SharedRequests(now);
-    asio::post(control_, [this, now, requests = std::move(requests)] {
-      suspected_requests_ = requests;
-      suspected_requests_at_ = now;
+    auto suspects = forwarder_.crashing_requests.SharedSuspects(now);
+    asio::post(control_, [this, now, suspects = std::move(suspects)] {
+      suspects_ = suspects;
+      suspects_at_ = now;
+    });
+  }
+
+  /// Tells all peers of the prompt parts of which they are to be told. Parts
+  /// that follow within kShareDelay are sent in the same message.
+  asio::awaitable<void> ShareParts() {
+    asio::steady_timer timer(traffic_, kShareDelay.ToChrono());
+    co_await timer.async_wait(net::kAsTuple);
+    is_sharing_parts_ = false;
+    auto parts =
+        forwarder_.crashing_requests.TakeUnsharedParts(base::Clock::Now());
+    asio::post(control_, [this, parts = std::move(parts)] {
+      peer_link_->ShareSuspects(parts);
     });
   }
 
@@ -471,8 +487,10 @@
   std::optional<PeerLink> peer_link_;
   size_t member_count_ = 0;
   /// Of the control thread: what peers are to be told, and when it was true.
-  std::vector<forward::SuspectedRequest> suspected_requests_;
-  base::Millis suspected_requests_at_;
+  std::vector<forward::Suspect> suspects_;
+  base::Millis suspects_at_;
+  /// Of the traffic thread: true while ShareParts() waits.
+  bool is_sharing_parts_ = false;
   std::map<uint64_t, std::shared_ptr<Session>> sessions_;
   uint64_t last_session_id_ = 0;
   base::Millis stopping_since_;
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -66,10 +66,14 @@
   return target;
 }
 
-peer::SuspectedRequest ToProto(const forward::SuspectedRequest& request) {
-  peer::SuspectedRequest message;
-  message.set_content_digest(request.content_hash);
-  for (const forward::SuspectedRequest::Loss& it : request.losses) {
+peer::Suspect ToProto(const forward::Suspect& suspect) {
+  peer::Suspect message;
+  message.set_content_digest(suspect.id.hash);
+  message.set_is_prompt_part(suspect.id.kind ==
+                             forward::SuspectKind::kPromptPart);
+  message.set_answers(suspect.answers);
+  message.set_position(suspect.position);
+  for (const forward::Suspect::Loss& it : suspect.losses) {
     peer::SuspectedLoss* loss = message.add_losses();
     loss->set_target(it.target.process.id);
     loss->set_started_at(it.target.process.started_at);
@@ -77,25 +81,31 @@
     loss->set_failure_domain(it.target.failure_domain);
     loss->set_age_ms(it.age.count);
     loss->set_simultaneous(it.simultaneous);
+    loss->set_request_digest(it.request);
   }
-  message.set_is_answered(request.answer_age.has_value());
-  message.set_answer_age_ms(request.answer_age.value_or(base::Millis{}).count);
+  message.set_is_answered(suspect.answer_age.has_value());
+  message.set_answer_age_ms(suspect.answer_age.value_or(base::Millis{}).count);
   return message;
 }
 
-forward::SuspectedRequest FromProto(const peer::SuspectedRequest& message) {
-  forward::SuspectedRequest request;
-  request.content_hash = message.content_digest();
+forward::Suspect FromProto(const peer::Suspect& message) {
+  forward::Suspect suspect;
+  suspect.id = {message.is_prompt_part() ? forward::SuspectKind::kPromptPart
+                                         : forward::SuspectKind::kRequest,
+                message.content_digest()};
+  suspect.answers = message.answers();
+  suspect.position = message.position();
   for (const peer::SuspectedLoss& it : message.losses()) {
-    request.losses.push_back(
+    suspect.losses.push_back(
         {{{it.target(), it.started_at()}, it.service(), it.failure_domain()},
          {it.age_ms()},
-         it.simultaneous()});
+         it.simultaneous(),
+         it.request_digest()});
   }
   if (message.is_answered()) {
-    request.answer_age = base::Millis{message.answer_age_ms()};
+    suspect.answer_age = base::Millis{message.answer_age_ms()};
   }
-  return request;
+  return suspect;
 }
 
 PeerCatalog FromProto(const peer::FetchCatalogReply& reply) {
@@ -137,18 +147,18 @@
   callbacks.post = callbacks_.post;
   callbacks.configuration_version = callbacks_.configuration_version;
   callbacks.add_piggybacked_data = [this](peer::PiggybackedData* data) {
-    for (const auto& it : callbacks_.suspected_requests()) {
+    for (const auto& it : callbacks_.suspects()) {
       *data->suspected.Add() = ToProto(it);
     }
   };
   callbacks.on_message_received = [this](const peer::PeerState&,
                                          const peer::PiggybackedData& data) {
-    std::vector<forward::SuspectedRequest> requests;
-    for (const peer::SuspectedRequest& it : data.suspected) {
-      requests.push_back(FromProto(it));
+    std::vector<forward::Suspect> suspects;
+    for (const peer::Suspect& it : data.suspected) {
+      suspects.push_back(FromProto(it));
     }
-    if (!requests.empty()) {
-      callbacks_.on_suspected_requests(requests);
+    if (!suspects.empty()) {
+      callbacks_.on_suspects(suspects);
     }
   };
   callbacks.on_table_changed = [this] {
@@ -334,6 +344,14 @@
   callbacks_.on_catalog(catalog);
 }
 
+void PeerLink::ShareSuspects(const std::vector<forward::Suspect>& suspects) {
+  peer::PiggybackedData data;
+  for (const forward::Suspect& it : suspects) {
+    *data.suspected.Add() = ToProto(it);
+  }
+  membership_.Broadcast(data);
+}
+
 void PeerLink::ReportLostTarget(const forward::TargetLoss& target,
                                 uint64_t content_hash,
                                 forward::LossAudience audience) {
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -10,7 +10,7 @@
 #include "base/metrics.h"
 #include "catalog/catalog.h"
 #include "forward/forwarder.h"
-#include "forward/suspected_request.h"
+#include "forward/suspect.h"
 #include "forward/target_loss.h"
 #include "gateway/catalog_source.h"
 #include "gateway/settings.h"
@@ -49,12 +49,12 @@
   /// is none.
   std::function<void(const forward::TargetLoss& target, uint64_t content_hash)>
       on_target_lost;
-  /// Returns the requests suspected to crash targets of which peers are to be
-  /// told.
-  std::function<std::vector<forward::SuspectedRequest>()> suspected_requests;
-  /// Called with the requests that a peer suspects to crash targets, if any.
-  std::function<void(const std::vector<forward::SuspectedRequest>&)>
-      on_suspected_requests;
+  /// Returns the requests and prompt parts suspected to crash targets of which
+  /// peers are to be told.
+  std::function<std::vector<forward::Suspect>()> suspects;
+  /// Called with the requests and prompt parts that a peer suspects to crash
+  /// targets, if any.
+  std::function<void(const std::vector<forward::Suspect>&)> on_suspects;
   /// Called with the number of instances in the group, including this one,
   /// whenever that number may have changed.
   std::function<void(size_t)> on_member_count;
@@ -120,6 +120,10 @@
   /// thread, which must still be running.
   void StopServing() { server_.Shutdown(); }
 
+  /// Tells all peers what this instance knows of the suspects. Runs on the
+  /// control thread.
+  void ShareSuspects(const std::vector<forward::Suspect>& suspects);
+
   /// Reports a lost target to peers. Runs on the control thread.
   void ReportLostTarget(const forward::TargetLoss& target,
                         uint64_t content_hash,
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -61,11 +61,10 @@
     callbacks.on_catalog_unchanged = [](base::Millis) {};
     callbacks.on_target_lost = [](const forward::TargetLoss&, uint64_t) {};
     callbacks.on_member_count = [this](size_t n) { member_count = n; };
-    callbacks.suspected_requests = [this] { return suspected; };
-    callbacks.on_suspected_requests =
-        [this](const std::vector<forward::SuspectedRequest>& it) {
-          learned_hash = it.at(0).content_hash;
-        };
+    callbacks.suspects = [this] { return suspected; };
+    callbacks.on_suspects = [this](const std::vector<forward::Suspect>& it) {
+      learned_hash = it.at(0).id.hash;
+    };
     link_.emplace(settings, &metrics_, std::move(callbacks));
     loop_.SchedulePeriodic(peer::MembershipProtocol::kProbePeriod,
                            [this] { link_->Probe(); });
@@ -97,9 +96,13 @@
     });
   }
 
+  void ShareSuspects(const std::vector<forward::Suspect>& suspects) {
+    loop_.Post([this, suspects] { link_->ShareSuspects(suspects); });
+  }
+
   std::atomic<int> permits = 0;
 
-  std::vector<forward::SuspectedRequest> suspected;
+  std::vector<forward::Suspect> suspected;
   std::atomic<uint64_t> learned_hash = 0;
   std::atomic<size_t> member_count = 0;
 
@@ -122,6 +125,7 @@
 SUITE(PeerLinkTest) {
   CPPUNIT_TEST_SUITE(PeerLinkTest);
   CPPUNIT_TEST(TestRestartedInstanceLearnsOfCrashingRequests);
+  CPPUNIT_TEST(TestAllMembersAreToldOfSuspects);
   CPPUNIT_TEST(TestMembersShareTheLimitOfATarget);
   CPPUNIT_TEST(TestPermitHolderIsAliveAndDiffersByTarget);
   CPPUNIT_TEST_SUITE_END();
@@ -131,9 +135,9 @@
     constexpr base::Millis kTimeout{3000};
     const std::string address = FreeAddress();
     Member peer("a", address, {});
-    forward::SuspectedRequest request;
-    request.content_hash = 7;
-    request.losses.push_back({{{"t", 1}, "s", "d"}, {100}, 0});
+    forward::Suspect request;
+    request.id.hash = 7;
+    request.losses.push_back({{{"t", 1}, "s", "d"}, {100}, 0, 0});
     peer.suspected.push_back(request);
     peer.Start();
     auto instance =
@@ -146,6 +150,23 @@
     EXPECT(BecomesTrue([&] { return instance->learned_hash == 7; }, kTimeout));
   }
 
+  void TestAllMembersAreToldOfSuspects() {
+    constexpr base::Millis kTimeout{5000};
+    const std::string address = FreeAddress();
+    Member a("a", address, {});
+    Member b("b", FreeAddress(), {address});
+    Member c("c", FreeAddress(), {address});
+    for (Member* it : {&a, &b, &c}) {
+      it->Start();
+    }
+    EXPECT(BecomesTrue([&] { return a.member_count == 3; }, kTimeout));
+    forward::Suspect suspect;
+    suspect.id = {forward::SuspectKind::kPromptPart, 7};
+    a.ShareSuspects({suspect});
+    EXPECT(BecomesTrue([&] { return b.learned_hash == 7; }, kTimeout));
+    EXPECT(BecomesTrue([&] { return c.learned_hash == 7; }, kTimeout));
+  }
+
   void TestMembersShareTheLimitOfATarget() {
     constexpr base::Millis kTimeout{5000};
     constexpr base::Millis kDuration{3000};
--- a/src/peer/membership_protocol.cc
+++ b/src/peer/membership_protocol.cc
@@ -204,6 +204,18 @@
                     });
 }
 
+void MembershipProtocol::Broadcast(const PiggybackedData& data) {
+  ExchangeRequest request;
+  *request.mutable_sender() = ToProto(table_.Self());
+  *request.mutable_condemned() = data.condemned;
+  *request.mutable_targets() = data.targets;
+  *request.mutable_suspected() = data.suspected;
+  for (const membership::PeerState& it : table_.Reachable()) {
+    client_->Exchange(it.address, request, kProbeTimeout,
+                      [](const std::optional<ExchangeReply>&) {});
+  }
+}
+
 void MembershipProtocol::AnnounceLeaving() {
   table_.SetLeaving();
   for (const membership::PeerState& it : table_.Reachable()) {
--- a/src/peer/membership_protocol.h
+++ b/src/peer/membership_protocol.h
@@ -16,7 +16,7 @@
 struct PiggybackedData {
   google::protobuf::RepeatedPtrField<Condemned> condemned;
   google::protobuf::RepeatedPtrField<TargetReport> targets;
-  google::protobuf::RepeatedPtrField<SuspectedRequest> suspected;
+  google::protobuf::RepeatedPtrField<Suspect> suspected;
 };
 
 /// Callbacks into the owner of a MembershipProtocol. All but `post` are called
@@ -57,6 +57,9 @@
   void OnExchange(const ExchangeRequest& request,
                   std::function<void(ExchangeReply)> done);
 
+  /// Sends `data` to all reachable peers.
+  void Broadcast(const PiggybackedData& data);
+
   /// Tells peers that this instance is leaving.
   void AnnounceLeaving();
 
