Count losses with a common cause in windows that begin with their first loss

With several crashes a second each loss in a failure domain has another one within 500 ms. TestSteadyLossesInADomainAreNotOneEvent failed before: ten losses in 4 s, 400 ms apart, counted once. Now a loss 500 ms after the first of an event begins the next event.

--- a/src/forward/crashing_request_tracker_test.cc
+++ b/src/forward/crashing_request_tracker_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(TestPartThatIsAnsweredMeanwhileIsNotBlocked);
   CPPUNIT_TEST(TestRunBegunBeforeALossDoesNotClearIt);
   CPPUNIT_TEST(TestPeersKnowThatAPartIsOftenAnswered);
+  CPPUNIT_TEST(TestSteadyLossesInADomainAreNotOneEvent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -310,6 +311,15 @@
                              CrashingRequestTracker::kRetentionPeriod * 2));
   }
 
+  void TestSteadyLossesInADomainAreNotOneEvent() {
+    CrashingRequestTracker tracker;
+    for (int64_t i = 0; i < 10; ++i) {
+      tracker.OnTargetLost({static_cast<uint64_t>(10 + i), {kDeadlyPart}},
+                           Lost("t" + std::to_string(i), "d0"), {i * 400});
+    }
+    EXPECT(tracker.IsBlocked({99, {kDeadlyPart}}, {4000}));
+  }
+
  private:
   static constexpr uint64_t kCommonPart = 1001;
   static constexpr uint64_t kDeadlyPart = 1002;
--- a/src/forward/loss_evidence.cc
+++ b/src/forward/loss_evidence.cc
@@ -41,10 +41,12 @@
   count.events = count.isolated;
   for (auto& it : correlated) {
     std::sort(it.second.begin(), it.second.end());
-    base::Millis previous{INT64_MIN / 2};
+    base::Millis event_began_at{INT64_MIN / 2};
     for (const base::Millis lost_at : it.second) {
-      count.events += lost_at - previous >= kCorrelatedLossWindow ? 1 : 0;
-      previous = lost_at;
+      if (lost_at - event_began_at >= kCorrelatedLossWindow) {
+        ++count.events;
+        event_began_at = lost_at;
+      }
     }
   }
   return count;
