--- a/src/catalog/target.h
+++ b/src/catalog/target.h
@@ -16,6 +16,9 @@
   /// Format "IP:PORT".
   std::string address;
   std::string failure_domain;
+  /// Version of the target's software; empty when not stated. What targets of
+  /// two versions write for one request does not fit together.
+  std::string version;
   int64_t slots = 1;
   /// The target accepts no new requests.
   bool is_leaving = false;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -1097,12 +1097,14 @@
                        n_send_attempts_ == 1 ? base::Reason::kNone : reason)},
          {"target", placement.id},
          {"domain", placement.failure_domain},
+         {"software", placement.version},
          {"score", placement.score},
          {"load", placement.load},
          {"report_age_ms", placement.report_age.count},
          {"copy", next_copy_holder_ ? next_copy_holder_->id : "none"},
          {"from_copy", kCopyUseNames.NameOf(copy_use_)},
          {"after_event", last_received_event_},
+         {"resumes", request_info_.resumed_id},
          {"left_ms", (deadline_ - Clock::Now()).count}});
   }
 
--- a/src/forward/message.h
+++ b/src/forward/message.h
@@ -25,6 +25,9 @@
   /// When the caller resumes an interrupted stream: the id of the last event
   /// received.
   std::optional<int64_t> last_event_id;
+  /// When the caller resumes an interrupted stream: the id of the attempt that
+  /// got its first event; empty when not stated.
+  std::string resumed_id;
   /// Length of the prompt in tokens; zero when not stated.
   int64_t prompt_tokens = 0;
   /// Maximum length of the response in tokens.
--- a/src/forward/target_selector.cc
+++ b/src/forward/target_selector.cc
@@ -204,6 +204,7 @@
   placement.id = state.target.id;
   placement.address = state.target.address;
   placement.failure_domain = state.target.failure_domain;
+  placement.version = state.target.version;
   placement.started_at = state.target.started_at;
   placement.score = score;
   placement.load = EstimateLoad(state, now);
--- a/src/forward/target_selector.h
+++ b/src/forward/target_selector.h
@@ -90,6 +90,8 @@
   std::string id;
   std::string address;
   std::string failure_domain;
+  /// Version of the target's software.
+  std::string version;
   /// Distinguishes this process of the target from an earlier or later one.
   int64_t started_at = 0;
   /// Score of the target for the request; the lowest score is the best.
--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -310,6 +310,7 @@
                    {"service", it.second.service},
                    {"address", it.second.address},
                    {"domain", it.second.failure_domain},
+                   {"software", it.second.version},
                    {"leaving", it.second.is_leaving},
                    {"cause", cause}});
       }
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -51,6 +51,7 @@
   message.set_slots(target.slots);
   message.set_is_leaving(target.is_leaving);
   message.set_started_at(target.started_at);
+  message.set_version(target.version);
   return message;
 }
 
@@ -63,6 +64,7 @@
   target.slots = message.slots();
   target.is_leaving = message.is_leaving();
   target.started_at = message.started_at();
+  target.version = message.version();
   return target;
 }
 
--- a/tests/plain_dialect.h
+++ b/tests/plain_dialect.h
@@ -50,6 +50,7 @@
     }
     metadata.api_key = Text(from, "Key");
     metadata.last_event_id = Number(from, "After-Event");
+    metadata.resumed_id = Text(from, "Resumed-Id");
     metadata.prompt = Text(from, "Prompt");
     for (size_t n = metadata.prompt.find(','), at = 0; n != std::string::npos;
          at = n + 1, n = metadata.prompt.find(',', at)) {
