Add failing tests for streams that go on at another software version

Six engines of two versions: of eight streams that break once some go on at the other version, and of eight streams that callers take up again as well.

--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -236,6 +237,8 @@
   CPPUNIT_TEST(TestCallerDisconnectClosesTargetConnection);
   CPPUNIT_TEST(TestStreamResumesAfterEngineLoss);
   CPPUNIT_TEST(TestStreamResumesFromCopy);
+  CPPUNIT_TEST(TestStreamGoesOnOnlyAtTheVersionThatBeganIt);
+  CPPUNIT_TEST(TestResumedStreamGoesOnOnlyAtTheVersionThatBeganIt);
   CPPUNIT_TEST(TestEngineBusyWithPrefillIsAvoided);
   CPPUNIT_TEST(TestUnresponsiveEnginesAreTriedLast);
   CPPUNIT_TEST(TestInterruptedStreamWaitsForRetryBudget);
@@ -492,6 +495,53 @@
     EXPECT_EQ(copy_address_ + "/r1", resumed_from_);
   }
 
+  void TestStreamGoesOnOnlyAtTheVersionThatBeganIt() {
+    AddEnginesOfTwoVersions(
+        [this](LoopbackConnection& connection, const std::string& header) {
+          RecordServingVersion(header);
+          return Serve(connection, header, 6, 3);
+        });
+    for (int i = 0; i < 8; ++i) {
+      EXPECT_EQ(std::string("1,2,3,4,5,6,end"),
+                EventIdsOf(ReadPromptStream(fmt::format("r{}", i), "p")));
+    }
+    for (const auto& it : serving_versions_) {
+      EXPECT_EQ(size_t{1}, it.second.size());
+    }
+  }
+
+  // The caller leaves after three events and comes back.
+  void TestResumedStreamGoesOnOnlyAtTheVersionThatBeganIt() {
+    AddEnginesOfTwoVersions(
+        [this](LoopbackConnection& connection, const std::string& header) {
+          RecordServingVersion(header);
+          if (!HeaderField(header, "After-Event").empty()) {
+            return Serve(connection, header, 6, 3);
+          }
+          connection.Send(MakeStreamHeader(HeaderField(header, "Request-Id")) +
+                          MakeEvent(1) + MakeEvent(2) + MakeEvent(3));
+          return connection.ClosesWithin(kReadTimeoutMs);
+        });
+    for (int i = 0; i < 8; ++i) {
+      {
+        Caller caller(instance_->Port());
+        caller.SendRequest("GET", fmt::format("/stream/r{}", i),
+                           fmt::format("first{}", i));
+        caller.connection->ReadUntil("id: 3", kReadTimeoutMs);
+      }
+      Caller caller(instance_->Port());
+      caller.SendRequest(
+          "GET", fmt::format("/stream/r{}", i), fmt::format("second{}", i),
+          fmt::format("After-Event: 3\r\nResumed-Id: first{}\r\n", i));
+      EXPECT_EQ(std::string("4,5,6,end"),
+                EventIdsOf(caller.connection->ReadUntil("\r\n0\r\n\r\n",
+                                                        kReadTimeoutMs)));
+    }
+    for (const auto& it : serving_versions_) {
+      EXPECT_EQ(size_t{1}, it.second.size());
+    }
+  }
+
   void TestEngineBusyWithPrefillIsAvoided() {
     busy_engine_ = 0;
     AddEngines(
@@ -953,6 +1003,22 @@
     }
   }
 
+  void AddEnginesOfTwoVersions(const FakeTarget::RequestHandler& script) {
+    versions_ = {"v1", "v2", "v2", "v1", "v1", "v2"};
+    AddEngines(static_cast<int>(versions_.size()), script);
+  }
+
+  /// Records the version that got a request for a path. `header` is that of the
+  /// request.
+  void RecordServingVersion(const std::string& header) {
+    const std::string path =
+        header.substr(0, header.find(" HTTP")).substr(header.find('/'));
+    const std::string target = HeaderField(header, "Target-Id");
+    const std::lock_guard lock(serving_mutex_);
+    serving_versions_[path].insert(
+        versions_.at(static_cast<size_t>(std::stoi(target.substr(1)))));
+  }
+
   void Publish() {
     auto configuration = std::make_shared<catalog::Configuration>();
     configuration->version = 1;
@@ -977,6 +1043,7 @@
       target.service = "s";
       target.address = targets_[i]->Address();
       target.failure_domain = i % 2 == 0 ? "a" : "b";
+      target.version = i < versions_.size() ? versions_[i] : "v1";
       target.slots = 8;
       targets->emplace(target.id, target);
     }
@@ -1073,6 +1140,11 @@
   std::unique_ptr<Instance> instance_;
   catalog::Catalog catalog_;
   std::vector<std::unique_ptr<FakeTarget>> targets_;
+  /// By index of the target; "v1" for the targets beyond.
+  std::vector<std::string> versions_;
+  std::mutex serving_mutex_;
+  /// By path: the versions that got requests for it.
+  std::map<std::string, std::set<std::string>> serving_versions_;
   std::atomic<int> n_sends_ = 0;
   std::string copy_address_;
   std::string serving_target_;
