Go on with a stream only at targets of the version that began it

The version of the target that sent the first event is the stream's. It limits every later send, the holder of the copy, the resume from a copy and the second try at the same engine. If no target that accepts requests has it, the stream is cut at once (version_gone) instead of after ResumeDeadline(). New runs avoid versions that fewer than three targets have while another one is more common, as their runs soon have nowhere to go on.

TestStreamGoesOnOnlyAtTheVersionThatBeganIt failed before and passes now. TestStreamIsCutAtOnceWhenItsVersionIsGone and the tests of the selector came with the fix and were not run red.

--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -76,9 +76,11 @@
   /// All targets that could run the request limit their requests, and the
   /// limits are used up.
   kTargetLimit,
+  /// No target has the software version that began the stream.
+  kVersionGone,
 };
 
-inline constexpr NameTable<Reason, 37> kReasonNames("none",
+inline constexpr NameTable<Reason, 38> kReasonNames("none",
                                                     "bad_request",
                                                     "body_too_large",
                                                     "unauthorized",
@@ -114,7 +116,8 @@
                                                     "answer_torn",
                                                     "error_answer",
                                                     "target_replaced",
-                                                    "target_limit");
+                                                    "target_limit",
+                                                    "version_gone");
 
 /// Which attempts with an idempotency key a verdict covers.
 enum class VerdictScope : uint8_t {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -227,6 +227,10 @@
         co_await Sleep(kTargetPollPeriod);
         continue;
       }
+      if (!placement && IsVersionGone()) {
+        reason = base::Reason::kVersionGone;
+        break;
+      }
       if (!placement) {
         reason = send_tracker_->SendCount() == 0 && n_refusals_ == 0
                      ? ReasonForNoTarget()
@@ -299,7 +303,14 @@
   /// True when the request may wait until a target becomes available. Only a
   /// stream that has begun waits, and only until ResumeDeadline().
   bool MayWaitForTarget() const {
-    return HasStreamBegun() && Clock::Now() < ResumeDeadline();
+    return HasStreamBegun() && !IsVersionGone() &&
+           Clock::Now() < ResumeDeadline();
+  }
+
+  /// True when no target is left that could go on with the stream.
+  bool IsVersionGone() const {
+    return stream_version_ &&
+           !forwarder_->selector.HasVersion(service_name_, *stream_version_);
   }
 
   /// Returns the time until which a stream that has begun may wait for a target
@@ -334,7 +345,8 @@
     if (run_copy_ && HasStreamBegun()) {
       const std::optional<Placement> holder =
           forwarder_->selector.FindSameProcess(run_copy_->holder, now);
-      if (holder && send_tracker_->MaySendTo(holder->id)) {
+      if (holder && holder->version == stream_version_ &&
+          send_tracker_->MaySendTo(holder->id)) {
         kv_source_ = run_copy_->source;
         copy_use_ = CopyUse::kUsed;
         co_return holder;
@@ -347,7 +359,9 @@
       // broke, the engine still has the prompt in its KV cache.
       const Placement same_engine =
           *std::exchange(reconnect_candidate_, std::nullopt);
-      if (!forwarder_->selector.IsSuperseded(same_engine.id)) {
+      if (HasStreamBegun()
+              ? forwarder_->selector.IsSameProcess(same_engine)
+              : !forwarder_->selector.IsSuperseded(same_engine.id)) {
         co_return same_engine;
       }
     }
@@ -389,6 +403,8 @@
   PlacementRequest BasePlacementRequest() const {
     PlacementRequest wanted;
     wanted.service = service_name_;
+    wanted.version = stream_version_;
+    wanted.prefers_common_version = MayCopyRuns() && !stream_version_;
     wanted.failure_domain = forwarder_->options.failure_domain;
     wanted.excluded = excluded_targets_;
     wanted.is_engine = engine_traits_ != nullptr;
@@ -586,6 +602,7 @@
     PlacementRequest wanted = BasePlacementRequest();
     wanted.excluded.insert(placement.id);
     wanted.avoided_domain = placement.failure_domain;
+    wanted.version = placement.version;
     return wanted;
   }
 
@@ -969,6 +986,7 @@
         ++n_events;
         has_event = true;
         run_began_at_ = run_began_at_.value_or(now);
+        stream_version_ = stream_version_.value_or(placement.version);
         forwarder_->metrics->Add(base::Counter::kEventsRelayed);
       }
       if (!text.empty() && now - *run_began_at_ >= kCrashAttributionPeriod) {
@@ -1189,6 +1207,8 @@
   std::string service_name_;
   RequestContent content_;
   std::string workspace_;
+  /// Software version of the target that sent the first event.
+  std::optional<std::string> stream_version_;
   std::optional<int> priority_;
   /// When the caller stops waiting for the answer.
   Millis deadline_;
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -238,6 +238,7 @@
   CPPUNIT_TEST(TestStreamResumesAfterEngineLoss);
   CPPUNIT_TEST(TestStreamResumesFromCopy);
   CPPUNIT_TEST(TestStreamGoesOnOnlyAtTheVersionThatBeganIt);
+  CPPUNIT_TEST(TestStreamIsCutAtOnceWhenItsVersionIsGone);
   CPPUNIT_TEST(TestResumedStreamGoesOnOnlyAtTheVersionThatBeganIt);
   CPPUNIT_TEST(TestEngineBusyWithPrefillIsAvoided);
   CPPUNIT_TEST(TestUnresponsiveEnginesAreTriedLast);
@@ -510,6 +511,22 @@
     }
   }
 
+  void TestStreamIsCutAtOnceWhenItsVersionIsGone() {
+    constexpr base::Millis kAtOnce{500};
+    std::atomic<int64_t> broken_at = 0;
+    AddEngines(
+        3, [&](LoopbackConnection& connection, const std::string& header) {
+          connection.Send(MakeStreamHeader(HeaderField(header, "Request-Id")) +
+                          MakeEvent(1));
+          versions_ = {"v2", "v2", "v2"};
+          Publish();
+          broken_at = base::Clock::Now().count;
+          return false;
+        });
+    EXPECT_EQ(std::string("1"), EventIdsOf(ReadStream("r1", "")));
+    EXPECT(base::Clock::Now() - base::Millis{broken_at} < kAtOnce);
+  }
+
   // The caller leaves after three events and comes back.
   void TestResumedStreamGoesOnOnlyAtTheVersionThatBeganIt() {
     AddEnginesOfTwoVersions(
--- a/src/forward/target_selector.cc
+++ b/src/forward/target_selector.cc
@@ -57,6 +57,10 @@
 constexpr double kAvoidedTargetWeight = 1000;
 constexpr double kFailingDomainWeight = 300;
 constexpr double kAvoidedDomainWeight = 100;
+// A software version that fewer targets have than this is chosen less for new
+// runs, if another version is more common.
+constexpr size_t kCommonVersionTargets = 3;
+constexpr double kScarceVersionWeight = 8;
 constexpr double kServiceLoadScale = 6;
 constexpr double kNoiseWeight = 0.05;
 // Weight of the newest outcome in the moving average of the failure rate.
@@ -159,6 +163,7 @@
   return state.target.service == request.service && !state.target.is_leaving &&
          !state.is_replaced && !state.is_superseded &&
          !request.excluded.contains(state.target.id) &&
+         (!request.version || *request.version == state.target.version) &&
          (request.allowed.empty() || request.allowed.contains(state.target.id));
 }
 
@@ -223,6 +228,9 @@
 std::vector<Placement> TargetSelector::Rank(const PlacementRequest& request,
                                             size_t n,
                                             Millis now) {
+  const std::set<std::string> scarce_versions =
+      request.prefers_common_version ? ScarceVersions(request.service)
+                                     : std::set<std::string>();
   std::map<std::string, bool> is_domain_failing;
   std::vector<std::pair<double, const TargetState*>> scored;
   for (const auto& it : states_) {
@@ -244,6 +252,9 @@
     if (is_failing && state.last_heard_at + kDomainFailureWindow < now) {
       score += kFailingDomainWeight;
     }
+    if (scarce_versions.contains(state.target.version)) {
+      score += kScarceVersionWeight;
+    }
     scored.emplace_back(score, &state);
   }
   n = std::min(n, scored.size());
@@ -467,6 +478,44 @@
   return it == states_.end() || it->second.is_superseded;
 }
 
+bool TargetSelector::IsSameProcess(const Placement& placement) const {
+  const auto it = states_.find(placement.id);
+  return it != states_.end() && !it->second.is_superseded &&
+         !it->second.is_replaced &&
+         it->second.target.started_at == placement.started_at &&
+         it->second.target.version == placement.version;
+}
+
+bool TargetSelector::HasVersion(const std::string& service,
+                                const std::string& version) const {
+  PlacementRequest request;
+  request.service = service;
+  request.version = version;
+  return std::any_of(states_.begin(), states_.end(), [&](const auto& it) {
+    return IsEligible(it.second, request);
+  });
+}
+
+std::set<std::string> TargetSelector::ScarceVersions(
+    const std::string& service) const {
+  PlacementRequest request;
+  request.service = service;
+  std::map<std::string, size_t> n_targets;
+  for (const auto& it : states_) {
+    n_targets[it.second.target.version] +=
+        IsEligible(it.second, request) ? 1 : 0;
+  }
+  std::set<std::string> scarce;
+  bool has_common = false;
+  for (const auto& it : n_targets) {
+    has_common = has_common || it.second >= kCommonVersionTargets;
+    if (it.second < kCommonVersionTargets) {
+      scarce.insert(it.first);
+    }
+  }
+  return has_common ? scarce : std::set<std::string>();
+}
+
 Millis TargetSelector::LastHeardAt(const std::string& id) const {
   const auto it = states_.find(id);
   return it == states_.end() ? Millis{INT64_MIN / 2} : it->second.last_heard_at;
--- a/src/forward/target_selector.h
+++ b/src/forward/target_selector.h
@@ -79,6 +79,11 @@
   int64_t kv_cache_tokens = 0;
   /// If not empty, only these targets may be chosen.
   std::set<std::string> allowed;
+  /// If set, only targets with this software version may be chosen.
+  std::optional<std::string> version;
+  /// True for a new request that may have to go on at another target of the
+  /// same version: versions that few targets have are chosen less.
+  bool prefers_common_version = false;
   /// All instances prefer the same engine for requests with equal keys, because
   /// that engine may still have the prompt of an earlier request in its KV
   /// cache.
@@ -197,6 +202,14 @@
   /// at its address.
   bool IsSuperseded(const std::string& id) const;
 
+  /// True when the target was not replaced by another process since `placement`
+  /// was created.
+  bool IsSameProcess(const Placement& placement) const;
+
+  /// True when a target that accepts requests has the software version, also if
+  /// it may not be chosen at present.
+  bool HasVersion(const std::string& service, const std::string& version) const;
+
   /// Returns when the target last sent any data, or a time far in the past if
   /// it never did.
   base::Millis LastHeardAt(const std::string& id) const;
@@ -222,6 +235,9 @@
                       base::Millis now) const;
   bool IsEligible(const TargetState& state,
                   const PlacementRequest& request) const;
+  /// Returns the software versions of the service that so few targets have that
+  /// a run may find no other target to go on at.
+  std::set<std::string> ScarceVersions(const std::string& service) const;
   Placement MakePlacement(const TargetState& state,
                           double score,
                           base::Millis now) const;
--- a/src/forward/target_selector_test.cc
+++ b/src/forward/target_selector_test.cc
@@ -145,6 +145,9 @@
   CPPUNIT_TEST(TestPollingKeepsFirstEventsWithinObjective);
   CPPUNIT_TEST(TestEngineWithFullKvCacheIsAvoided);
   CPPUNIT_TEST(TestReportFromAnotherProcessMarksTargetReplaced);
+  CPPUNIT_TEST(TestOnlyTargetsOfTheVersionAreChosen);
+  CPPUNIT_TEST(TestNewRunsAvoidAVersionOfFewTargets);
+  CPPUNIT_TEST(TestRestartWithAnotherVersionIsAnotherProcess);
   CPPUNIT_TEST(TestChosenTargetIsAlwaysEligible);
   CPPUNIT_TEST_SUITE_END();
 
@@ -161,6 +164,60 @@
     EXPECT_EQ(std::string("e1"), selector.Choose(EngineRequest(1), kNow)->id);
   }
 
+  void TestOnlyTargetsOfTheVersionAreChosen() {
+    TargetSelector selector(1);
+    catalog::Targets targets = MakeEngines(6, 3);
+    for (const char* it : {"e1", "e4"}) {
+      targets.at(it).version = "v2";
+    }
+    selector.Configure(targets);
+    PlacementRequest request = EngineRequest(1);
+    request.version = "v2";
+    request.avoided_domain = "d0";
+    for (int i = 0; i < 20; ++i) {
+      EXPECT_EQ(std::string("v2"), selector.Choose(request, kNow)->version);
+      EXPECT_EQ(std::string("v2"),
+                selector.ChooseCopyHolder(request, kNow)->version);
+    }
+    targets.at("e1").is_leaving = true;
+    selector.Configure(targets);
+    EXPECT(selector.HasVersion("llm", "v2"));
+    targets.at("e4").is_leaving = true;
+    selector.Configure(targets);
+    EXPECT(!selector.HasVersion("llm", "v2"));
+    EXPECT(!selector.Choose(request, kNow).has_value());
+  }
+
+  // The last targets of a version are replaced soon, and their runs have
+  // nowhere to go on.
+  void TestNewRunsAvoidAVersionOfFewTargets() {
+    TargetSelector selector(1);
+    catalog::Targets targets = MakeEngines(6, 1);
+    targets.at("e0").version = "v1";
+    targets.at("e1").version = "v1";
+    selector.Configure(targets);
+    PlacementRequest request = EngineRequest(1);
+    request.prefers_common_version = true;
+    for (uint64_t key = 0; key < 20; ++key) {
+      request.affinity_key = key;
+      EXPECT_EQ(std::string(), selector.Choose(request, kNow)->version);
+    }
+    request.version = "v1";
+    EXPECT_EQ(std::string("v1"), selector.Choose(request, kNow)->version);
+  }
+
+  void TestRestartWithAnotherVersionIsAnotherProcess() {
+    TargetSelector selector(1);
+    catalog::Targets targets = MakeEngines(1, 1);
+    targets.at("e0").version = "v1";
+    selector.Configure(targets);
+    const Placement placement = *selector.Choose(EngineRequest(1), kNow);
+    EXPECT(selector.IsSameProcess(placement));
+    targets.at("e0").version = "v2";
+    selector.Configure(targets);
+    EXPECT(!selector.IsSameProcess(placement));
+  }
+
   /// After a crash, the catalog holds for some seconds both the entry of the
   /// dead target and that of its successor at the same address.
   void TestSupersededTargetGetsNoRequests() {
