Let callers take up streams only at the version that began them

Cause: Resumes was not read and nothing knew what had begun the stream.

The instance that passes on the first event records service and version, here and at two peers chosen by the attempt's id, other failure domains first. A returning stream is looked up here, then at the peers; without a record its version is known only if all instances that answer have seen a single version of the service for as long as a stream lasts. Otherwise it is refused at once with 503, stream_unknown, which is true: nothing was sent. A stream whose service is no longer on the route is refused as well.

TestResumedStreamGoesOnOnlyAtTheVersionThatBeganIt failed before (two versions); it now also returns to another instance.

--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -78,9 +78,11 @@
   kTargetLimit,
   /// No target has the software version that began the stream.
   kVersionGone,
+  /// It is not known which software version began the stream.
+  kStreamUnknown,
 };
 
-inline constexpr NameTable<Reason, 38> kReasonNames("none",
+inline constexpr NameTable<Reason, 39> kReasonNames("none",
                                                     "bad_request",
                                                     "body_too_large",
                                                     "unauthorized",
@@ -117,7 +119,8 @@
                                                     "error_answer",
                                                     "target_replaced",
                                                     "target_limit",
-                                                    "version_gone");
+                                                    "version_gone",
+                                                    "stream_unknown");
 
 /// Which attempts with an idempotency key a verdict covers.
 enum class VerdictScope : uint8_t {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -14,6 +14,7 @@
 #include "forward/engine_poll.h"
 #include "forward/event_splitter.h"
 #include "forward/exchange_limits.h"
+#include "forward/find_stream_origin.h"
 #include "forward/forwarder.h"
 #include "forward/http_text.h"
 #include "forward/response_reader.h"
@@ -67,7 +68,10 @@
       co_return co_await AnswerVerdict(*refusal);
     }
     caller_->StartDisconnectWatch([this] { OnCallerGone(); });
-    const ConnectionReuse reuse = co_await SendUntilAnswered();
+    const bool is_origin_known = co_await FindOriginOfResumedStream();
+    const ConnectionReuse reuse =
+        is_origin_known ? co_await SendUntilAnswered()
+                        : co_await FailRequest(base::Reason::kStreamUnknown);
     caller_->StopDisconnectWatch();
     forwarder_->metrics->Observe(base::Timer::kForward,
                                  base::Clock::Now() - request_.arrived_at);
@@ -131,7 +135,7 @@
       return Refuse(base::Reason::kStopping, "this instance is stopping",
                     StoppingRetryAfter());
     }
-    service_name_ = ChooseService();
+    SetService(ChooseService());
     content_.prompt_parts = request_info_.shared_prompt_parts;
     content_.hash =
         base::Hash(std::string(PathWithoutQuery(request_.target)) + '\n' +
@@ -140,10 +144,6 @@
     send_tracker_.emplace(route_->repeatability, route_->maximum_targets);
     last_received_event_ = request_info_.last_event_id.value_or(0);
     last_written_event_ = last_received_event_;
-    const catalog::Service* service =
-        catalog_.configuration->FindService(service_name_);
-    engine_traits_ =
-        service != nullptr && service->engine ? &*service->engine : nullptr;
     forwarder_->retry_limit.OnRequest(service_name_, Clock::Now());
     return std::nullopt;
   }
@@ -183,6 +183,14 @@
     return route_->is_public || !catalog_.configuration->has_workspaces;
   }
 
+  void SetService(const std::string& name) {
+    service_name_ = name;
+    const catalog::Service* service =
+        catalog_.configuration->FindService(service_name_);
+    engine_traits_ =
+        service != nullptr && service->engine ? &*service->engine : nullptr;
+  }
+
   std::string ChooseService() {
     int64_t total = 0;
     for (const auto& it : route_->services) {
@@ -202,6 +210,45 @@
     return route_->services.back().service;
   }
 
+  /// True when the caller takes up a stream of which it has events.
+  bool IsResumedByCaller() const {
+    return route_->is_stream &&
+           route_->repeatability == catalog::Repeatability::kResumable &&
+           last_received_event_ > 0;
+  }
+
+  /// Finds out which software version began a stream that the caller resumes.
+  /// Returns false if that is not known.
+  net::asio::awaitable<bool> FindOriginOfResumedStream() {
+    if (!IsResumedByCaller()) {
+      co_return true;
+    }
+    // A braced temporary in a co_await expression is destroyed twice by GCC 12.
+    std::string id = request_info_.resumed_id;
+    std::string service = service_name_;
+    const StreamOrigin origin = co_await FindStreamOrigin(
+        forwarder_, std::move(id), std::move(service));
+    const auto& services = route_->services;
+    const bool is_on_route = std::any_of(
+        services.begin(), services.end(),
+        [&](const auto& it) { return it.service == origin.record.service; });
+    if (origin.source == VersionSource::kUnknown || !is_on_route) {
+      co_return false;
+    }
+    SetService(origin.record.service);
+    stream_version_ = origin.record.version;
+    RecordStream(request_info_.resumed_id);
+    co_return true;
+  }
+
+  /// Lets other instances know by which software the stream was begun.
+  void RecordStream(const std::string& id) {
+    if (forwarder_->record_stream && !id.empty() &&
+        route_->repeatability == catalog::Repeatability::kResumable) {
+      forwarder_->record_stream(id, {service_name_, *stream_version_});
+    }
+  }
+
   // ---- The loop over targets.
 
   net::asio::awaitable<ConnectionReuse> SendUntilAnswered() {
@@ -986,7 +1033,10 @@
         ++n_events;
         has_event = true;
         run_began_at_ = run_began_at_.value_or(now);
-        stream_version_ = stream_version_.value_or(placement.version);
+        if (!stream_version_) {
+          stream_version_ = placement.version;
+          RecordStream(request_info_.id);
+        }
         forwarder_->metrics->Add(base::Counter::kEventsRelayed);
       }
       if (!text.empty() && now - *run_began_at_ >= kCrashAttributionPeriod) {
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -159,6 +159,19 @@
     }
   }
 
+  template <typename Record, typename Find>
+  void SetStreamRecords(Record record, Find find) {
+    std::atomic<bool> is_done = false;
+    asio::post(io_, [&] {
+      forwarder_->record_stream = record;
+      forwarder_->find_stream_origin = find;
+      is_done = true;
+    });
+    while (!is_done) {
+      std::this_thread::yield();
+    }
+  }
+
   uint16_t Port() const { return port_; }
 
   base::Metrics metrics;
@@ -240,6 +253,7 @@
   CPPUNIT_TEST(TestStreamGoesOnOnlyAtTheVersionThatBeganIt);
   CPPUNIT_TEST(TestStreamIsCutAtOnceWhenItsVersionIsGone);
   CPPUNIT_TEST(TestResumedStreamGoesOnOnlyAtTheVersionThatBeganIt);
+  CPPUNIT_TEST(TestResumedStreamOfUnknownVersionIsRefusedAtOnce);
   CPPUNIT_TEST(TestEngineBusyWithPrefillIsAvoided);
   CPPUNIT_TEST(TestUnresponsiveEnginesAreTriedLast);
   CPPUNIT_TEST(TestInterruptedStreamWaitsForRetryBudget);
@@ -527,7 +541,7 @@
     EXPECT(base::Clock::Now() - base::Millis{broken_at} < kAtOnce);
   }
 
-  // The caller leaves after three events and comes back.
+  // The caller leaves after three events and comes back to another instance.
   void TestResumedStreamGoesOnOnlyAtTheVersionThatBeganIt() {
     AddEnginesOfTwoVersions(
         [this](LoopbackConnection& connection, const std::string& header) {
@@ -539,6 +553,9 @@
                           MakeEvent(1) + MakeEvent(2) + MakeEvent(3));
           return connection.ClosesWithin(kReadTimeoutMs);
         });
+    Instance other;
+    other.Apply(catalog_);
+    ShareStreamRecords({instance_.get(), &other});
     for (int i = 0; i < 8; ++i) {
       {
         Caller caller(instance_->Port());
@@ -546,7 +563,7 @@
                            fmt::format("first{}", i));
         caller.connection->ReadUntil("id: 3", kReadTimeoutMs);
       }
-      Caller caller(instance_->Port());
+      Caller caller(i % 2 == 0 ? instance_->Port() : other.Port());
       caller.SendRequest(
           "GET", fmt::format("/stream/r{}", i), fmt::format("second{}", i),
           fmt::format("After-Event: 3\r\nResumed-Id: first{}\r\n", i));
@@ -559,6 +576,21 @@
     }
   }
 
+  void TestResumedStreamOfUnknownVersionIsRefusedAtOnce() {
+    AddEngines(
+        1, [this](LoopbackConnection& connection, const std::string& header) {
+          return Serve(connection, header, 6, 6);
+        });
+    ShareStreamRecords({instance_.get()});
+    const std::string text =
+        ReadStream("r2", "After-Event: 3\r\nResumed-Id: r1\r\n");
+    EXPECT(text.starts_with("HTTP/1.1 503 "));
+    EXPECT(text.find("stream_unknown") != std::string::npos);
+    EXPECT_EQ(0, n_sends_.load());
+    EXPECT_EQ(std::string("1,2,3,4,5,6,end"),
+              EventIdsOf(ReadStream("r3", "After-Event: 0\r\n")));
+  }
+
   void TestEngineBusyWithPrefillIsAvoided() {
     busy_engine_ = 0;
     AddEngines(
@@ -1025,6 +1057,25 @@
     AddEngines(static_cast<int>(versions_.size()), script);
   }
 
+  /// Makes the instances share their records of streams.
+  void ShareStreamRecords(const std::vector<Instance*>& instances) {
+    for (Instance* it : instances) {
+      it->SetStreamRecords(
+          [this](const std::string& id, const StreamRecord& record) {
+            const std::lock_guard lock(serving_mutex_);
+            stream_records_[id] = record;
+          },
+          [this](const std::string& id, const std::string&,
+                 const std::function<void(StreamOrigin)>& done) {
+            const std::lock_guard lock(serving_mutex_);
+            const auto found = stream_records_.find(id);
+            done(found == stream_records_.end()
+                     ? StreamOrigin()
+                     : StreamOrigin{VersionSource::kRecord, found->second});
+          });
+    }
+  }
+
   /// Records the version that got a request for a path. `header` is that of the
   /// request.
   void RecordServingVersion(const std::string& header) {
@@ -1160,6 +1211,7 @@
   /// By index of the target; "v1" for the targets beyond.
   std::vector<std::string> versions_;
   std::mutex serving_mutex_;
+  std::map<std::string, StreamRecord> stream_records_;
   /// By path: the versions that got requests for it.
   std::map<std::string, std::set<std::string>> serving_versions_;
   std::atomic<int> n_sends_ = 0;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -16,6 +16,7 @@
 #include "forward/request_content.h"
 #include "forward/request_permit_pool.h"
 #include "forward/retry_limit.h"
+#include "forward/stream_record.h"
 #include "forward/target_loss.h"
 #include "forward/target_selector.h"
 
@@ -114,6 +115,16 @@
                      double limit,
                      std::function<void(RequestPermit)> done)>
       take_permit;
+  /// Records by which software a stream was begun; `id` is that of the attempt
+  /// that got its first event.
+  std::function<void(const std::string& id, const StreamRecord& record)>
+      record_stream;
+  /// Finds out which version of a service began a stream. `done` is called
+  /// once, on the traffic thread.
+  std::function<void(const std::string& id,
+                     const std::string& service,
+                     std::function<void(StreamOrigin)> done)>
+      find_stream_origin;
   /// Requests that wait for retry budget for one service, and the borrow
   /// requests to the shared pool on their behalf.
   struct RetryBorrowState {
--- /dev/null
+++ b/src/forward/stream_record.h
@@ -0,0 +1,42 @@
+#ifndef DAISYPOND_FORWARD_STREAM_RECORD_H_
+#define DAISYPOND_FORWARD_STREAM_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/name_table.h"
+
+namespace daisypond::forward {
+
+/// The software that began a stream.
+struct StreamRecord {
+  std::string service;
+  std::string version;
+
+  bool operator==(const StreamRecord&) const = default;
+};
+
+/// How an instance knows which version began a stream.
+enum class VersionSource : uint8_t {
+  /// Not known.
+  kUnknown,
+  /// The instance that served the stream has recorded it.
+  kRecord,
+  /// An instance has seen no other version of the service for as long as a
+  /// stream can last.
+  kOnlyVersion,
+};
+
+inline constexpr base::NameTable<VersionSource, 3>
+    kVersionSourceNames("unknown", "record", "only_version");
+
+/// The answer to the question which version began a stream.
+struct StreamOrigin {
+  VersionSource source = VersionSource::kUnknown;
+  /// Valid unless `source` is kUnknown.
+  StreamRecord record;
+};
+
+}  // namespace daisypond::forward
+
+#endif  // DAISYPOND_FORWARD_STREAM_RECORD_H_
--- /dev/null
+++ b/src/forward/version_history_test.cc
@@ -0,0 +1,92 @@
+#include "forward/version_history.h"
+
+#include <string>
+
+#include "forward/stream_record_table.h"
+#include "tests/test_macros.h"
+
+namespace daisypond::forward {
+
+namespace {
+
+using base::Millis;
+
+constexpr Millis kUnixNow{1'000'000};
+
+catalog::Target MakeTarget(const std::string& id,
+                           const std::string& version,
+                           Millis age) {
+  catalog::Target target;
+  target.id = id;
+  target.service = "s";
+  target.version = version;
+  target.started_at = (kUnixNow - age).count;
+  return target;
+}
+
+SUITE(VersionHistoryTest) {
+  CPPUNIT_TEST_SUITE(VersionHistoryTest);
+  CPPUNIT_TEST(TestVersionThatLeftMayHaveBegunAStream);
+  CPPUNIT_TEST(TestObservationMustCoverTheLongestStream);
+  CPPUNIT_TEST(TestOldTargetsShowThatThereWasNoRelease);
+  CPPUNIT_TEST(TestRecordsExpireAndAreBounded);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TestVersionThatLeftMayHaveBegunAStream() {
+    VersionHistory history;
+    const auto v1 = MakeTarget("a", "v1", {0});
+    const auto v2 = MakeTarget("b", "v2", {0});
+    history.OnTargets({{"a", v1}}, {0});
+    history.OnTargets({{"a", v1}, {"b", v2}}, {40'000});
+    EXPECT(history.Count("s", {40'000}, kUnixNow) == VersionCount::kSeveral);
+    history.OnTargets({{"b", v2}}, {50'000});
+    EXPECT(history.Count("s", {79'999}, kUnixNow) == VersionCount::kSeveral);
+    EXPECT(history.Count("s", {80'000}, kUnixNow) == VersionCount::kOne);
+    EXPECT_EQ(std::string("v2"), history.LatestVersion("s"));
+  }
+
+  void TestObservationMustCoverTheLongestStream() {
+    VersionHistory history;
+    EXPECT(history.Count("s", {0}, kUnixNow) == VersionCount::kUnknown);
+    history.OnTargets({{"a", MakeTarget("a", "v1", {1000})}}, {0});
+    EXPECT(history.Count("s", VersionHistory::kLongestStream - Millis{1},
+                         kUnixNow) == VersionCount::kUnknown);
+    EXPECT(history.Count("s", VersionHistory::kLongestStream, kUnixNow) ==
+           VersionCount::kOne);
+  }
+
+  void TestOldTargetsShowThatThereWasNoRelease() {
+    VersionHistory history;
+    catalog::Targets targets;
+    targets["a"] = MakeTarget("a", "v1", VersionHistory::kLongestStream);
+    targets["b"] = MakeTarget("b", "v1", VersionHistory::kLongestStream);
+    targets["c"] = MakeTarget("c", "v1", {1000});
+    history.OnTargets(targets, {0});
+    EXPECT(history.Count("s", {1}, kUnixNow) == VersionCount::kOne);
+    targets["d"] = MakeTarget("d", "v1", {1000});
+    history.OnTargets(targets, {2});
+    EXPECT(history.Count("s", {3}, kUnixNow) == VersionCount::kUnknown);
+  }
+
+  void TestRecordsExpireAndAreBounded() {
+    StreamRecordTable table;
+    table.Add("x", {"s", "v1"}, {0});
+    table.Add("y", {"s", "v2"}, {0});
+    table.Add("x", {"s", "v1"}, {30'000});
+    const Millis later = StreamRecordTable::kRetentionPeriod;
+    EXPECT(table.Find("x", later).has_value());
+    EXPECT(!table.Find("y", later).has_value());
+    for (size_t i = 0; i < StreamRecordTable::kMaximumRecords; ++i) {
+      table.Add(std::to_string(i), {"s", "v1"}, later);
+    }
+    EXPECT(!table.Find("x", later).has_value());
+    EXPECT(table.Find("0", later).has_value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(VersionHistoryTest);
+
+}  // namespace
+
+}  // namespace daisypond::forward
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,22 @@
                 });
           });
         };
+    forwarder_.record_stream = [this](const std::string& id,
+                                      const forward::StreamRecord& record) {
+      asio::post(control_, [this, id, record] {
+        peer_link_->StreamRecords().Record(id, record);
+      });
+    };
+    forwarder_.find_stream_origin =
+        [this](const std::string& id, const std::string& service,
+               std::function<void(forward::StreamOrigin)> done) {
+          asio::post(control_, [this, id, service, done = std::move(done)] {
+            peer_link_->StreamRecords().Find(
+                id, service, [this, done](const forward::StreamOrigin& origin) {
+                  asio::post(traffic_, [done, origin] { done(origin); });
+                });
+          });
+        };
     forwarder_.on_unshared_parts = [this] {
       if (!std::exchange(is_sharing_parts_, true)) {
         asio::co_spawn(traffic_, ShareParts(), asio::detached);
@@ -237,6 +253,9 @@
 
   /// Passes a catalog from the control thread to the traffic thread.
   void PublishCatalog(const catalog::Catalog& next) {
+    if (next.targets != nullptr) {
+      peer_link_->StreamRecords().OnTargets(*next.targets);
+    }
     peer_link_->AnswerHeldRequests();
     asio::post(traffic_, [this, next] {
       forwarder_.Apply(next);
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -140,6 +140,7 @@
                     callbacks_.post,
                     MakeRetryPool(settings)),
       request_limit_(&membership_, &client_),
+      stream_records_(&membership_, &client_, callbacks_.post),
       server_(settings.peer_listen,
               grpc::InsecureServerCredentials(),
               MakeServerDependencies()) {}
@@ -200,6 +201,13 @@
     reply.set_wait_ms(permit.wait.count);
     return reply;
   };
+  dependencies.on_record_stream =
+      [this](const peer::RecordStreamRequest& request) {
+        stream_records_.AddRecord(request);
+      };
+  dependencies.on_find_stream = [this](const peer::FindStreamRequest& request) {
+    return stream_records_.Answer(request);
+  };
   dependencies.on_fetch_catalog =
       [this](const peer::FetchCatalogRequest& request,
              std::function<void(peer::FetchCatalogReply)> done) {
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <optional>
 #include <set>
@@ -100,6 +101,26 @@
     loop_.Post([this, suspects] { link_->ShareSuspects(suspects); });
   }
 
+  void RecordStream(const std::string& id,
+                    const forward::StreamRecord& record) {
+    loop_.Post(
+        [this, id, record] { link_->StreamRecords().Record(id, record); });
+  }
+
+  void SetTargets(const catalog::Targets& targets) {
+    loop_.Post([this, targets] { link_->StreamRecords().OnTargets(targets); });
+  }
+
+  forward::StreamOrigin FindStream(const std::string& id) {
+    std::promise<forward::StreamOrigin> found;
+    loop_.Post([&] {
+      link_->StreamRecords().Find(
+          id, "llm",
+          [&](const forward::StreamOrigin& it) { found.set_value(it); });
+    });
+    return found.get_future().get();
+  }
+
   std::atomic<int> permits = 0;
 
   std::vector<forward::Suspect> suspected;
@@ -126,6 +147,8 @@
   CPPUNIT_TEST_SUITE(PeerLinkTest);
   CPPUNIT_TEST(TestRestartedInstanceLearnsOfCrashingRequests);
   CPPUNIT_TEST(TestAllMembersAreToldOfSuspects);
+  CPPUNIT_TEST(TestStreamRecordOutlivesTheInstanceThatServedIt);
+  CPPUNIT_TEST(TestOnlyVersionOfAServiceIsTheOriginOfItsStreams);
   CPPUNIT_TEST(TestMembersShareTheLimitOfATarget);
   CPPUNIT_TEST(TestPermitHolderIsAliveAndDiffersByTarget);
   CPPUNIT_TEST_SUITE_END();
@@ -167,6 +190,57 @@
     EXPECT(BecomesTrue([&] { return c.learned_hash == 7; }, kTimeout));
   }
 
+  void TestStreamRecordOutlivesTheInstanceThatServedIt() {
+    constexpr base::Millis kTimeout{5000};
+    const std::string address = FreeAddress();
+    Member a("a", address, {});
+    auto b = std::make_unique<Member>("b", FreeAddress(), std::vector{address});
+    Member c("c", FreeAddress(), {address});
+    for (Member* it : {&a, b.get(), &c}) {
+      it->Start();
+    }
+    EXPECT(BecomesTrue([&] { return b->member_count == 3; }, kTimeout));
+    EXPECT(BecomesTrue([&] { return a.member_count == 3; }, kTimeout));
+    for (const char* it : {"s1", "s2", "s3"}) {
+      b->RecordStream(it, {"llm", "v2"});
+    }
+    EXPECT(BecomesTrue(
+        [&] {
+          return a.FindStream("s3").source == forward::VersionSource::kRecord;
+        },
+        kTimeout));
+    b.reset();
+    for (const char* it : {"s1", "s2", "s3"}) {
+      const forward::StreamOrigin origin = c.FindStream(it);
+      EXPECT(origin.source == forward::VersionSource::kRecord);
+      EXPECT_EQ(std::string("v2"), origin.record.version);
+    }
+    EXPECT(a.FindStream("s4").source == forward::VersionSource::kUnknown);
+  }
+
+  void TestOnlyVersionOfAServiceIsTheOriginOfItsStreams() {
+    constexpr base::Millis kTimeout{5000};
+    const std::string address = FreeAddress();
+    Member a("a", address, {});
+    Member b("b", FreeAddress(), {address});
+    a.Start();
+    b.Start();
+    EXPECT(BecomesTrue([&] { return a.member_count == 2; }, kTimeout));
+    catalog::Target target;
+    target.id = "t1";
+    target.service = "llm";
+    target.version = "v1";
+    target.started_at = base::Clock::UnixNow().count - 60'000;
+    b.SetTargets({{"t1", target}});
+    const forward::StreamOrigin origin = a.FindStream("s1");
+    EXPECT(origin.source == forward::VersionSource::kOnlyVersion);
+    EXPECT_EQ(std::string("v1"), origin.record.version);
+    target.version = "v2";
+    a.SetTargets({{"t1", target}});
+    EXPECT(a.FindStream("s1").source == forward::VersionSource::kUnknown);
+    EXPECT(b.FindStream("s1").source == forward::VersionSource::kUnknown);
+  }
+
   void TestMembersShareTheLimitOfATarget() {
     constexpr base::Millis kTimeout{5000};
     constexpr base::Millis kDuration{3000};
--- /dev/null
+++ b/src/gateway/shared_stream_records.cc
@@ -0,0 +1,172 @@
+#include "gateway/shared_stream_records.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+#include "membership/copy_peers.h"
+
+namespace daisypond::gateway {
+
+namespace {
+
+// Number of peers that keep a record besides the instance that served the
+// stream.
+constexpr size_t kRecordCopies = 2;
+// Timeout of a call to a peer, which allows several network round trips.
+constexpr base::Millis kCallTimeout{250};
+
+/// The search for the origin of a stream among the peers.
+struct Search {
+  size_t n_asked = 0;
+  size_t n_pending = 0;
+  size_t n_answered = 0;
+  bool is_done = false;
+  /// The versions of the peers that know of a single one, and whether one of
+  /// them knows of several.
+  std::vector<std::string> only_versions;
+  bool has_several_versions = false;
+
+  void Add(const peer::FindStreamReply& reply) {
+    const auto count = static_cast<forward::VersionCount>(reply.versions());
+    has_several_versions |= count == forward::VersionCount::kSeveral;
+    if (count == forward::VersionCount::kOne) {
+      only_versions.push_back(reply.version());
+    }
+  }
+
+  /// Returns the version of the service on which all agree that know of a
+  /// single one.
+  forward::StreamOrigin OnlyVersion(const std::string& service) const {
+    const bool is_agreed =
+        !only_versions.empty() && !has_several_versions &&
+        std::count(only_versions.begin(), only_versions.end(),
+                   only_versions.front()) ==
+            static_cast<long>(only_versions.size());
+    // An instance that reaches no peer may have missed a release.
+    const bool is_cut_off = n_asked > 0 && n_answered == 0;
+    if (!is_agreed || is_cut_off) {
+      return {};
+    }
+    return {forward::VersionSource::kOnlyVersion,
+            {service, only_versions.front()}};
+  }
+};
+
+forward::StreamOrigin RecordedOrigin(const peer::FindStreamReply& reply) {
+  return {forward::VersionSource::kRecord, {reply.service(), reply.version()}};
+}
+
+void LogOrigin(const std::string& id,
+               const Search& search,
+               const forward::StreamOrigin& origin) {
+  base::Log(base::LogLevel::kInfo, "stream_origin",
+            {{"resumes", id},
+             {"source", forward::kVersionSourceNames.NameOf(origin.source)},
+             {"service", origin.record.service},
+             {"software", origin.record.version},
+             {"asked", search.n_asked},
+             {"answered", search.n_answered},
+             {"several_versions", search.has_several_versions}});
+}
+
+}  // namespace
+
+void SharedStreamRecords::Record(const std::string& id,
+                                 const forward::StreamRecord& record) {
+  records_.Add(id, record, base::Clock::Now());
+  peer::RecordStreamRequest request;
+  request.set_id(id);
+  request.set_service(record.service);
+  request.set_version(record.version);
+  const membership::PeerState& self = membership_->Table().Self();
+  const auto ranked = membership::RankCopyPeers(
+      id, {self.failure_domain, self.region}, membership_->Table().Reachable());
+  for (size_t i = 0; i < std::min(kRecordCopies, ranked.size()); ++i) {
+    client_->RecordStream(ranked[i].address, request, kCallTimeout);
+  }
+}
+
+void SharedStreamRecords::Find(const std::string& id,
+                               const std::string& service,
+                               OriginCallback done) {
+  const auto search = std::make_shared<Search>();
+  const auto finish = [id, search, done](const forward::StreamOrigin& origin) {
+    if (!std::exchange(search->is_done, true)) {
+      LogOrigin(id, *search, origin);
+      done(origin);
+    }
+  };
+  peer::FindStreamRequest request;
+  request.set_id(id);
+  request.set_service(service);
+  const peer::FindStreamReply own = Answer(request);
+  if (own.is_found()) {
+    finish(RecordedOrigin(own));
+    return;
+  }
+  search->Add(own);
+  const std::vector<std::string> addresses =
+      membership::CopyLookupAddresses(id, membership_->Table().Reachable());
+  search->n_asked = addresses.size();
+  search->n_pending = addresses.size();
+  if (addresses.empty()) {
+    finish(search->OnlyVersion(service));
+    return;
+  }
+  const auto on_reply = [search, service, finish](
+                            const std::optional<peer::FindStreamReply>& reply) {
+    --search->n_pending;
+    search->n_answered += reply ? 1 : 0;
+    if (reply && reply->is_found()) {
+      finish({forward::VersionSource::kRecord, reply->version()});
+      return;
+    }
+    if (reply) {
+      search->Add(*reply);
+    }
+    if (search->n_pending == 0) {
+      finish(search->OnlyVersion(service));
+    }
+  };
+  for (const std::string& it : addresses) {
+    client_->FindStream(
+        it, request, kCallTimeout,
+        [this, on_reply](std::optional<peer::FindStreamReply> reply) {
+          post_([on_reply, reply = std::move(reply)] { on_reply(reply); });
+        });
+  }
+}
+
+void SharedStreamRecords::OnTargets(const catalog::Targets& targets) {
+  history_.OnTargets(targets, base::Clock::Now());
+}
+
+void SharedStreamRecords::AddRecord(const peer::RecordStreamRequest& request) {
+  records_.Add(request.id(), {request.service(), request.version()},
+               base::Clock::Now());
+}
+
+peer::FindStreamReply SharedStreamRecords::Answer(
+    const peer::FindStreamRequest& request) const {
+  const base::Millis now = base::Clock::Now();
+  peer::FindStreamReply reply;
+  const auto record = records_.Find(request.id(), now);
+  if (record) {
+    reply.set_is_found(true);
+    reply.set_service(record->service);
+    reply.set_version(record->version);
+    return reply;
+  }
+  const forward::VersionCount count =
+      history_.Count(request.service(), now, base::Clock::UnixNow());
+  reply.set_versions(static_cast<uint32_t>(count));
+  if (count == forward::VersionCount::kOne) {
+    reply.set_version(history_.LatestVersion(request.service()));
+  }
+  return reply;
+}
+
+}  // namespace daisypond::gateway
--- a/src/peer/peer_client.cc
+++ b/src/peer/peer_client.cc
@@ -334,6 +334,41 @@
       std::move(done));
 }
 
+void PeerClient::RecordStream(const std::string& address,
+                              const RecordStreamRequest& request,
+                              base::Millis timeout) {
+  auto shared_request = std::make_shared<RecordStreamRequest>(request);
+  StartCall<RecordStreamRequest, RecordStreamReply>(
+      address, *shared_request, timeout,
+      [shared_request](auto* stub, auto* context, const auto&, auto* reply,
+                       auto on_done) {
+        stub->RecordStream(
+            context, shared_request.get(), reply,
+            [shared_request, on_done](const grpc::Status& status) {
+              on_done(status);
+            });
+      },
+      [](const std::optional<RecordStreamReply>&) {});
+}
+
+void PeerClient::FindStream(
+    const std::string& address,
+    const FindStreamRequest& request,
+    base::Millis timeout,
+    std::function<void(std::optional<FindStreamReply>)> done) {
+  auto shared_request = std::make_shared<FindStreamRequest>(request);
+  StartCall<FindStreamRequest, FindStreamReply>(
+      address, *shared_request, timeout,
+      [shared_request](auto* stub, auto* context, const auto&, auto* reply,
+                       auto on_done) {
+        stub->FindStream(context, shared_request.get(), reply,
+                         [shared_request, on_done](const grpc::Status& status) {
+                           on_done(status);
+                         });
+      },
+      std::move(done));
+}
+
 void PeerClient::ReportDeath(const std::string& address,
                              const ReportDeathRequest& request) {
   auto shared_request = std::make_shared<ReportDeathRequest>(request);
--- a/src/peer/peer_client.h
+++ b/src/peer/peer_client.h
@@ -96,6 +96,17 @@
                   base::Millis timeout,
                   std::function<void(std::optional<TakePermitReply>)> done);
 
+  /// Sends the record of a stream to a peer. The result of the call is ignored.
+  void RecordStream(const std::string& address,
+                    const RecordStreamRequest& request,
+                    base::Millis timeout);
+
+  /// Asks a peer by which software a stream was begun.
+  void FindStream(const std::string& address,
+                  const FindStreamRequest& request,
+                  base::Millis timeout,
+                  std::function<void(std::optional<FindStreamReply>)> done);
+
   /// Reports the death of a target to a peer. The result of the call is
   /// ignored.
   void ReportDeath(const std::string& address,
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -142,6 +142,31 @@
     return reactor;
   }
 
+  grpc::ServerUnaryReactor* RecordStream(grpc::CallbackServerContext* context,
+                                         const RecordStreamRequest* request,
+                                         RecordStreamReply*) override {
+    if (!dependencies_.on_record_stream) {
+      return FinishUnimplemented(context);
+    }
+    dependencies_.post(
+        [this, copy = *request] { dependencies_.on_record_stream(copy); });
+    return FinishOk(context);
+  }
+
+  grpc::ServerUnaryReactor* FindStream(grpc::CallbackServerContext* context,
+                                       const FindStreamRequest* request,
+                                       FindStreamReply* reply) override {
+    if (!dependencies_.on_find_stream) {
+      return FinishUnimplemented(context);
+    }
+    auto* reactor = context->DefaultReactor();
+    dependencies_.post([this, request, reply, reactor] {
+      *reply = dependencies_.on_find_stream(*request);
+      reactor->Finish(grpc::Status::OK);
+    });
+    return reactor;
+  }
+
  private:
   static grpc::ServerUnaryReactor* FinishUnimplemented(
       grpc::CallbackServerContext* context) {
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -43,10 +43,16 @@
 using TakePermitHandler =
     std::function<TakePermitReply(const TakePermitRequest& request)>;
 
+using RecordStreamHandler =
+    std::function<void(const RecordStreamRequest& request)>;
+using FindStreamHandler =
+    std::function<FindStreamReply(const FindStreamRequest& request)>;
+
 /// The objects and handlers that answer calls. `copy_store`, `configuration`,
-/// `on_fetch_catalog`, `on_lend_retries`, `on_report_requests` and
-/// `on_take_permit` may be null; calls that need a null member fail with
-/// UNIMPLEMENTED. The other members must be set.
+/// `on_fetch_catalog`, `on_lend_retries`, `on_report_requests`,
+/// `on_take_permit`, `on_record_stream` and `on_find_stream` may be null; calls
+/// that need a null member fail with UNIMPLEMENTED. The other members must be
+/// set.
 struct PeerServerDependencies {
   generation::CopyStore* copy_store = nullptr;
   intents::ActiveConfiguration* configuration = nullptr;
@@ -58,6 +64,8 @@
   LendRetriesHandler on_lend_retries;
   ReportRequestsHandler on_report_requests;
   TakePermitHandler on_take_permit;
+  RecordStreamHandler on_record_stream;
+  FindStreamHandler on_find_stream;
 };
 
 /// Serves the gRPC service Peers. Calls that use the copy store or the
