Keep in the table service when a service had several software versions

While several versions of a service are listed, one instance records the time in a row of our own, at once and every 10 s; each instance reads these rows at its start. Without a recent record the listed version is known to be the only one. An instance that lists another version than its peers contradicts them.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include "gateway/catalog_source.h"
 #include "gateway/forwarder_options.h"
 #include "gateway/peer_link.h"
+#include "gateway/release_records.h"
 #include "gateway/settings.h"
 #include "gateway/status_server.h"
 #include "net/address.h"
@@ -47,12 +48,16 @@
             [this](const catalog::Catalog& it) { PublishCatalog(it); }),
         configuration_reader_(control_.get_executor(), settings.store),
         target_reader_(control_.get_executor(), settings.store),
+        release_reader_(control_.get_executor(), settings.store),
         configuration_watcher_(&configuration_reader_,
                                {.table = Format::kConfigurationTable},
                                MakeConfigurationWatcherCallbacks()),
         target_watcher_(&target_reader_,
                         {.table = Format::kTargetTable},
                         MakeTargetWatcherCallbacks()),
+        release_records_(&release_reader_,
+                         Format::kReleaseTable,
+                         MakeReleaseCallbacks()),
         acceptor_(traffic_) {
     forwarder_.borrow_retries = [this](const std::string& service, int wanted,
                                        std::function<void(int)> done) {
@@ -122,6 +127,7 @@
     asio::co_spawn(traffic_, RunMaintenance(), asio::detached);
     asio::co_spawn(control_, configuration_watcher_.Run(), asio::detached);
     asio::co_spawn(control_, target_watcher_.Run(), asio::detached);
+    asio::co_spawn(control_, release_records_.Run(), asio::detached);
     StartPeriodicTask(kDropMissingTargetsPeriod,
                       [this] { catalog_source_.DropMissingTargets(); });
     StartPeriodicTask(peer::MembershipProtocol::kProbePeriod,
@@ -231,6 +237,16 @@
     return callbacks;
   }
 
+  typename ReleaseRecords<typename Format::Reader>::Callbacks
+  MakeReleaseCallbacks() {
+    return {[this](std::map<std::string, base::Millis> last_several_at) {
+              metrics_.Add(base::Counter::kStoreCalls);
+              peer_link_->StreamRecords().OnReleasesRead(
+                  std::move(last_several_at));
+            },
+            [this] { return peer_link_->StreamRecords().ReleasesToRecord(); }};
+  }
+
   /// Returns how long the next call to the table service may wait for a change
   /// of the targets. Returns nothing while this instance gets its targets from
   /// peers instead of the table service.
@@ -499,8 +515,10 @@
   CatalogSource<Format> catalog_source_;
   typename Format::Reader configuration_reader_;
   typename Format::Reader target_reader_;
+  typename Format::Reader release_reader_;
   catalog::TableWatcher<typename Format::Reader> configuration_watcher_;
   catalog::TableWatcher<typename Format::Reader> target_watcher_;
+  ReleaseRecords<typename Format::Reader> release_records_;
   net::Tcp::acceptor acceptor_;
   std::optional<StatusServer> status_server_;
   std::optional<PeerLink> peer_link_;
--- a/src/gateway/shared_stream_records.cc
+++ b/src/gateway/shared_stream_records.cc
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
 #include "base/log.h"
+#include "gateway/shared_request_limit.h"
 #include "membership/copy_peers.h"
 
 namespace daisypond::gateway {
@@ -24,34 +27,31 @@
   size_t n_pending = 0;
   size_t n_answered = 0;
   bool is_done = false;
-  /// The versions of the peers that know of a single one, and whether one of
-  /// them knows of several.
-  std::vector<std::string> only_versions;
+  /// The versions that the instances list.
+  std::set<std::string> versions;
+  /// True when an instance knows that there has been a single version.
+  bool is_only_version_known = false;
   bool has_several_versions = false;
 
   void Add(const peer::FindStreamReply& reply) {
     const auto count = static_cast<forward::VersionCount>(reply.versions());
+    is_only_version_known |= count == forward::VersionCount::kOne;
     has_several_versions |= count == forward::VersionCount::kSeveral;
-    if (count == forward::VersionCount::kOne) {
-      only_versions.push_back(reply.version());
+    if (reply.has_version()) {
+      versions.insert(reply.version());
     }
   }
 
-  /// Returns the version of the service on which all agree that know of a
-  /// single one.
+  /// Returns the only version of the service, if an instance knows that it is
+  /// the only one and no other instance contradicts.
   forward::StreamOrigin OnlyVersion(const std::string& service) const {
-    const bool is_agreed =
-        !only_versions.empty() && !has_several_versions &&
-        std::count(only_versions.begin(), only_versions.end(),
-                   only_versions.front()) ==
-            static_cast<long>(only_versions.size());
     // An instance that reaches no peer may have missed a release.
     const bool is_cut_off = n_asked > 0 && n_answered == 0;
-    if (!is_agreed || is_cut_off) {
+    if (!is_only_version_known || has_several_versions ||
+        versions.size() != 1 || is_cut_off) {
       return {};
     }
-    return {forward::VersionSource::kOnlyVersion,
-            {service, only_versions.front()}};
+    return {forward::VersionSource::kOnlyVersion, {service, *versions.begin()}};
   }
 };
 
@@ -144,6 +144,21 @@
   history_.OnTargets(targets, base::Clock::Now());
 }
 
+void SharedStreamRecords::OnReleasesRead(
+    std::map<std::string, base::Millis> last_several_at) {
+  history_.OnReleasesRead(std::move(last_several_at));
+}
+
+std::vector<std::string> SharedStreamRecords::ReleasesToRecord() const {
+  const auto& table = membership_->Table();
+  std::vector<std::string> services = history_.ServicesWithSeveralVersions();
+  std::erase_if(services, [&](const std::string& it) {
+    return SelectPermitHolder(it, table.Self(), table.Reachable()) !=
+           table.Self().address;
+  });
+  return services;
+}
+
 void SharedStreamRecords::AddRecord(const peer::RecordStreamRequest& request) {
   records_.Add(request.id(), {request.service(), request.version()},
                base::Clock::Now());
@@ -163,8 +178,9 @@
   const forward::VersionCount count =
       history_.Count(request.service(), now, base::Clock::UnixNow());
   reply.set_versions(static_cast<uint32_t>(count));
-  if (count == forward::VersionCount::kOne) {
-    reply.set_version(history_.LatestVersion(request.service()));
+  const auto version = history_.LatestVersion(request.service());
+  if (version) {
+    reply.set_version(*version);
   }
   return reply;
 }
--- a/src/gateway/shared_stream_records.h
+++ b/src/gateway/shared_stream_records.h
@@ -2,7 +2,10 @@
 #define DAISYPOND_GATEWAY_SHARED_STREAM_RECORDS_H_
 
 #include <functional>
+#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "forward/stream_record.h"
@@ -42,6 +45,14 @@
   /// To be called with each new list of targets.
   void OnTargets(const catalog::Targets& targets);
 
+  /// To be called with what the instances have recorded of releases; see
+  /// VersionHistory::OnReleasesRead().
+  void OnReleasesRead(std::map<std::string, base::Millis> last_several_at);
+
+  /// Returns the services of which this instance is to record that several
+  /// versions are listed.
+  std::vector<std::string> ReleasesToRecord() const;
+
   /// Stores a record of a peer.
   void AddRecord(const peer::RecordStreamRequest& request);
   /// Answers a peer that looks for the origin of a stream.
--- a/src/net/http_get_client.cc
+++ b/src/net/http_call_client.cc
@@ -1,4 +1,4 @@
-#include "net/http_get_client.h"
+#include "net/http_call_client.h"
 
 #include <algorithm>
 #include <utility>
@@ -18,11 +18,11 @@
 
 }  // namespace
 
-HttpGetClient::HttpGetClient(const asio::any_io_executor& executor,
-                             std::string address)
+HttpCallClient::HttpCallClient(const asio::any_io_executor& executor,
+                               std::string address)
     : executor_(executor), address_(std::move(address)) {}
 
-asio::awaitable<bool> HttpGetClient::OpenConnection(base::Millis deadline) {
+asio::awaitable<bool> HttpCallClient::OpenConnection(base::Millis deadline) {
   buffer_.clear();
   socket_ = std::make_unique<TimedSocket>(executor_);
   const base::Millis connect_deadline =
@@ -34,15 +34,14 @@
   co_return !ec;
 }
 
-HttpCallError HttpGetClient::CloseAfterError() {
+HttpCallError HttpCallClient::CloseAfterError() {
   const bool has_timed_out = socket_->HasTimedOut();
   socket_.reset();
   return has_timed_out ? HttpCallError::kTimedOut : HttpCallError::kBroken;
 }
 
 asio::awaitable<tl::expected<HttpResponse, HttpCallError>>
-HttpGetClient::SendOnce(const bhttp::request<bhttp::empty_body>& request,
-                        base::Millis deadline) {
+HttpCallClient::SendOnce(const Request& request, base::Millis deadline) {
   if (socket_ == nullptr && !co_await OpenConnection(deadline)) {
     const bool has_timed_out = socket_->HasTimedOut();
     socket_.reset();
@@ -69,12 +68,28 @@
   co_return parser.release();
 }
 
-asio::awaitable<tl::expected<HttpResponse, HttpCallError>> HttpGetClient::Get(
+asio::awaitable<tl::expected<HttpResponse, HttpCallError>> HttpCallClient::Get(
     const std::string& path_and_query,
     base::Millis timeout) {
+  co_return co_await Send(Request(bhttp::verb::get, path_and_query, kHttp11),
+                          timeout);
+}
+
+asio::awaitable<tl::expected<HttpResponse, HttpCallError>> HttpCallClient::Post(
+    const std::string& path,
+    std::string body,
+    base::Millis timeout) {
+  Request request(bhttp::verb::post, path, kHttp11);
+  request.set(bhttp::field::content_type, "application/json");
+  request.body() = std::move(body);
+  request.prepare_payload();
+  co_return co_await Send(std::move(request), timeout);
+}
+
+asio::awaitable<tl::expected<HttpResponse, HttpCallError>> HttpCallClient::Send(
+    Request request,
+    base::Millis timeout) {
   const base::Millis deadline = base::Clock::Now() + timeout;
-  bhttp::request<bhttp::empty_body> request(bhttp::verb::get, path_and_query,
-                                            kHttp11);
   request.set(bhttp::field::host, address_);
   const bool is_reused_connection = socket_ != nullptr;
   auto response = co_await SendOnce(request, deadline);
--- a/src/net/http_get_client.h
+++ b/src/net/http_call_client.h
@@ -1,5 +1,5 @@
-#ifndef DAISYPOND_NET_HTTP_GET_CLIENT_H_
-#define DAISYPOND_NET_HTTP_GET_CLIENT_H_
+#ifndef DAISYPOND_NET_HTTP_CALL_CLIENT_H_
+#define DAISYPOND_NET_HTTP_CALL_CLIENT_H_
 
 #include <memory>
 #include <string>
@@ -25,21 +25,31 @@
 
 using HttpResponse = bhttp::response<bhttp::string_body>;
 
-/// Sends GET requests to one address, one at a time, over a persistent
-/// connection. When a reused connection fails, the request is sent once more
+/// Sends requests to one address, one at a time, over a persistent connection.
+/// When a reused connection fails, the request is sent once more
 /// over a new connection. Requests must therefore be safe to repeat.
-class HttpGetClient {
+class HttpCallClient {
  public:
-  HttpGetClient(const asio::any_io_executor& executor, std::string address);
+  HttpCallClient(const asio::any_io_executor& executor, std::string address);
 
   /// Sends a GET request and reads the complete response within `timeout`.
   asio::awaitable<tl::expected<HttpResponse, HttpCallError>> Get(
       const std::string& path_and_query,
       base::Millis timeout);
 
+  /// Sends a POST request with a JSON body and reads the complete response
+  /// within `timeout`.
+  asio::awaitable<tl::expected<HttpResponse, HttpCallError>>
+  Post(const std::string& path, std::string body, base::Millis timeout);
+
  private:
+  using Request = bhttp::request<bhttp::string_body>;
+
+  asio::awaitable<tl::expected<HttpResponse, HttpCallError>> Send(
+      Request request,
+      base::Millis timeout);
   asio::awaitable<tl::expected<HttpResponse, HttpCallError>> SendOnce(
-      const bhttp::request<bhttp::empty_body>& request,
+      const Request& request,
       base::Millis deadline);
   asio::awaitable<bool> OpenConnection(base::Millis deadline);
   HttpCallError CloseAfterError();
@@ -52,4 +62,4 @@
 
 }  // namespace daisypond::net
 
-#endif  // DAISYPOND_NET_HTTP_GET_CLIENT_H_
+#endif  // DAISYPOND_NET_HTTP_CALL_CLIENT_H_
