Add a test that counts repeated sends of real processes

Eight instances as processes, six targets that break off each request; all instances are killed and started again at once, half of them paused in turn, then restarted one by one.

--- /dev/null
+++ b/meta/retry_budget_test.py
@@ -0,0 +1,284 @@
+#!/usr/bin/env python3
+"""Counts the repeated sends of real instances at their targets.
+
+Runs instances of the forwarding interface as processes, with targets that break
+off every request and a table service, all in this program. Meanwhile instances
+are killed, restarted and paused. In each window the targets may get `RATIO`
+repeats for each request plus `SLACK`, from all instances together.
+"""
+import argparse
+import base64
+import http.client
+import http.server
+import json
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import urllib.parse
+
+BUILD = pathlib.Path(__file__).resolve().parent.parent / "build"
+HOST = "127.0.0.1"
+INSTANCES = 8
+TARGETS = 6
+REQUESTS_PER_S = 12
+RATIO = 0.8
+SLACK = 150
+WINDOW_S = 10.0
+
+
+def encode(value):
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+def configuration():
+    return {
+        "version": 1,
+        "routes": [{
+            "name": "r", "host": "h", "prefix": "/a/",
+            "route_kind": "idempotent", "timeout_ms": 3000,
+            "target_latency_ms": 300, "priority": 1, "service": "s",
+            "max_attempts": 5, "public": True}],
+        "services": [{"name": "s", "health_path": "/healthz",
+                      "max_conns": 100}],
+        "limits": {}}
+
+
+class Arrivals:
+    """When each request reached any target."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.times = {}
+        self.sent = []
+
+    def add(self, request):
+        with self.lock:
+            self.times.setdefault(request, []).append(time.monotonic())
+
+    # Returns the largest excess of repeats over the bound and its window's end.
+    def worst_window(self):
+        with self.lock:
+            repeats = sorted(t for it in self.times.values()
+                             for t in sorted(it)[1:])
+            sent = sorted(self.sent)
+
+        def count(times, begin, end):
+            return sum(begin < t <= end for t in times)
+
+        worst = (float("-inf"), 0, 0, 0)
+        for end in repeats:
+            requests = max(count(sent, end - WINDOW_S - shift, end - shift)
+                           for shift in (0, WINDOW_S / 2, WINDOW_S))
+            n = count(repeats, end - WINDOW_S, end)
+            worst = max(worst, (n - RATIO * requests - SLACK, n, requests, end))
+        return worst
+
+
+class Target:
+    """Reads requests, counts them and closes the connection."""
+
+    def __init__(self, arrivals):
+        self.arrivals = arrivals
+        self.listener = socket.create_server((HOST, 0), backlog=256)
+        self.address = "%s:%d" % self.listener.getsockname()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            connection, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(connection,),
+                             daemon=True).start()
+
+    def serve(self, connection):
+        data = b""
+        try:
+            while b"\r\n\r\n" not in data:
+                part = connection.recv(4096)
+                if not part:
+                    return
+                data += part
+            for line in data.decode().split("\r\n"):
+                name, _, value = line.partition(":")
+                if name.lower() == "x-attempt-id":
+                    self.arrivals.add(value.strip())
+        except OSError:
+            pass  # The instance was killed.
+        finally:
+            connection.close()
+
+
+class StoreHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    rows = {}
+
+    def do_GET(self):
+        url = urllib.parse.urlparse(self.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        rows = []
+        if url.path == "/rows-get":
+            rows = [{"table": query["table"], "part": "", "key": key,
+                     "value": value, "ver": 1}
+                    for key, value in self.rows.get(query["table"], {}).items()]
+        else:
+            time.sleep(int(query.get("wait_ms", 0)) / 1000)
+        self.answer({"rows": rows, "ver": 1, "now_ms": 1, "has_more": False})
+
+    def do_POST(self):
+        self.rfile.read(int(self.headers["Content-Length"]))
+        self.answer({"ver": 1, "now_ms": 1})
+
+    def answer(self, value):
+        body = json.dumps(value).encode()
+        try:
+            self.send_response(200)
+            self.send_header("Content-Type", "application/json")
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+        except OSError:
+            self.close_connection = True  # The instance was killed.
+
+    def log_message(self, *_):
+        pass
+
+
+class Instance:
+    def __init__(self, index, port, folder, store):
+        self.port = port + index * 4
+        seeds = ", ".join(f'"{HOST}:{port + i * 4 + 3}"' for i in range(3))
+        self.settings = folder / f"{index}.yaml"
+        self.log = folder / f"{index}.log"
+        self.settings.write_text(f"""interface: forward
+instance: i{index}
+failure_domain: d{index % 4}
+listen: {HOST}:{self.port}
+ready_listen: {HOST}:{self.port + 1}
+metrics_listen: {HOST}:{self.port + 2}
+peer_listen: {HOST}:{self.port + 3}
+seed_peers: [{seeds}]
+store: {store}
+stop_grace_s: 8
+retries:
+  window_s: {WINDOW_S:.0f}
+  ratio: {RATIO}
+  slack: {SLACK}
+""")
+        self.process = None
+
+    def start(self):
+        with open(self.log, "a") as log:
+            self.process = subprocess.Popen(
+                [BUILD / "daisypond-entry", "--config", self.settings],
+                stdout=log, stderr=subprocess.STDOUT)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def request(self, name, arrivals):
+        connection = http.client.HTTPConnection(HOST, self.port, timeout=4)
+        with arrivals.lock:
+            arrivals.sent.append(time.monotonic())
+        try:
+            connection.request("GET", "/a/x", headers={
+                "Host": "h", "X-Attempt-Id": name, "X-Deadline-Ms": "3000"})
+            connection.getresponse().read()
+        except (OSError, http.client.HTTPException):
+            pass  # Killed or paused instances do not answer.
+        finally:
+            connection.close()
+
+
+# Sends requests to random instances until `end` is set.
+def send_requests(instances, arrivals, rng, end):
+    n = 0
+    while not end.is_set():
+        n += 1
+        threading.Thread(target=rng.choice(instances).request,
+                         args=(f"request{n}", arrivals), daemon=True).start()
+        time.sleep(1 / REQUESTS_PER_S)
+
+
+def restart_all(instances, rng):
+    for it in instances:
+        it.kill()
+    for it in rng.sample(instances, len(instances)):
+        it.start()
+        time.sleep(0.04)
+
+
+def disturb(instances, rng):
+    time.sleep(8)
+    restart_all(instances, rng)
+    time.sleep(5)
+    for half in (instances[::2], instances[1::2]):
+        for it in half:
+            it.signal(signal.SIGSTOP)
+        time.sleep(3)
+        for it in half:
+            it.signal(signal.SIGCONT)
+    restart_all(instances, rng)
+    time.sleep(4)
+    for it in rng.sample(instances, len(instances)):
+        it.kill()
+        time.sleep(0.2)
+        it.start()
+        time.sleep(0.3)
+    restart_all(instances, rng)
+    time.sleep(6)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--port", type=int, default=28600)
+    arguments = parser.parse_args()
+    rng = random.Random(arguments.seed)
+    arrivals = Arrivals()
+    targets = [Target(arrivals) for _ in range(TARGETS)]
+    StoreHandler.rows = {
+        "op": {"config": encode(configuration())},
+        "servers": {f"t{i}": encode({
+            "service": "s", "address": it.address, "zone": f"d{i % 4}",
+            "version": "v1", "slots": 8, "state": "ready", "seq": 1,
+            "born": 1000}) for i, it in enumerate(targets)}}
+    store = http.server.ThreadingHTTPServer((HOST, 0), StoreHandler)
+    threading.Thread(target=store.serve_forever, daemon=True).start()
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="daisypond-budget-"))
+    instances = [Instance(i, arguments.port, folder,
+                          "%s:%d" % store.server_address)
+                 for i in range(INSTANCES)]
+    end = threading.Event()
+    try:
+        for it in instances:
+            it.start()
+        time.sleep(4)
+        sender = threading.Thread(target=send_requests, daemon=True,
+                                  args=(instances, arrivals, rng, end))
+        sender.start()
+        disturb(instances, rng)
+    finally:
+        end.set()
+        for it in instances:
+            it.signal(signal.SIGCONT)
+            it.kill()
+    excess, repeats, requests, _ = arrivals.worst_window()
+    holds = excess <= 0 and repeats > 0
+    print(f"{'ok' if holds else 'FAILED'}: {repeats} repeats for {requests} "
+          f"requests in {WINDOW_S:.0f} s, allowed "
+          f"{RATIO * requests + SLACK:.0f}; seed {arguments.seed}, logs in "
+          f"{folder}")
+    return 0 if holds else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
