Grant the fixed allowance of repeated sends only once per window

Cause: each process had the fixed part of the bound at once after its start, and the pool of a holder too, though both may have used it just before a restart; and an instance that saw no other member took the allowance of the whole group (it logs members n=1 at each start, and again while its peers are paused).

Change: no allowance in the first window after a start, or after an instance became a holder; the share of a member follows the largest group seen, and is that of 350 members until another one is found; a pool's part shrinks with the share of members in reach, so that a split group stays within the bound.

The slack test checks the pool after its window, as before, and that it grants something. TestSlackOfASplitGroupStaysWithinTotal and TestRestartedInstanceHasNoAllowanceForAWindow came with the fix.

--- a/meta/retry_budget_test.py
+++ b/meta/retry_budget_test.py
@@ -11,6 +11,7 @@
 import http.client
 import http.server
 import json
+import os
 import pathlib
 import random
 import signal
@@ -22,7 +23,8 @@
 import time
 import urllib.parse
 
-BUILD = pathlib.Path(__file__).resolve().parent.parent / "build"
+BUILD = pathlib.Path(os.environ.get(
+    "DAISYPOND_BUILD", pathlib.Path(__file__).resolve().parent.parent / "build"))
 HOST = "127.0.0.1"
 INSTANCES = 8
 TARGETS = 6
--- a/src/forward/retry_limit.cc
+++ b/src/forward/retry_limit.cc
@@ -36,8 +36,10 @@
   return unreported;
 }
 
-double RetryLimit::LocalLimit(const ServiceCounts& counts) const {
-  return options_.ratio * counts.request_shares + options_.allowance;
+double RetryLimit::LocalLimit(const ServiceCounts& counts,
+                              base::Millis now) const {
+  return options_.ratio * counts.request_shares +
+         (now < options_.allowance_from ? 0 : options_.allowance);
 }
 
 bool RetryLimit::TakeRetry(const std::string& service,
@@ -52,7 +54,7 @@
   const double share =
       is_limited_to_share ? options_.error_replacement_share : 1.0;
   if (static_cast<double>(counts.retries.size()) + 1 <=
-      LocalLimit(counts) * share) {
+      LocalLimit(counts, now) * share) {
     counts.retries.push_back(now);
     return true;
   }
--- a/src/forward/retry_limit.h
+++ b/src/forward/retry_limit.h
@@ -28,6 +28,9 @@
   /// Retries allowed within the window in addition to those that `ratio`
   /// allows.
   double allowance = 2;
+  /// No such retries are allowed before this time: a process does not know how
+  /// many it made before a restart.
+  base::Millis allowance_from;
   /// A borrowed retry expires after this time. The pool counts a retry when it
   /// grants it, so the retry must be used soon after that.
   base::Millis borrowed_retry_lifetime{1000};
@@ -94,7 +97,7 @@
     int unreported = 0;
   };
 
-  double LocalLimit(const ServiceCounts& counts) const;
+  double LocalLimit(const ServiceCounts& counts, base::Millis now) const;
 
   void RemoveExpired(ServiceCounts* counts, base::Millis now) const;
   void RemoveExpiredBorrowed(ServiceCounts* counts, base::Millis now) const;
--- a/src/forward/retry_limit_test.cc
+++ b/src/forward/retry_limit_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(TestErrorRetriesLeaveRetriesForLostWork);
   CPPUNIT_TEST(TestBorrowedRetriesExpire);
   CPPUNIT_TEST(TestPooledShareDoesNotAddToLocalLimit);
+  CPPUNIT_TEST(TestRestartedInstanceHasNoAllowanceForAWindow);
   CPPUNIT_TEST(TestPoolCountsExpireAfterTheWindow);
   CPPUNIT_TEST(TestPoolCoversLossOfWholeFailureDomain);
   CPPUNIT_TEST(TestTotalRetriesOfAllInstancesAreBounded);
@@ -84,6 +85,15 @@
     EXPECT_EQ(2, n);
   }
 
+  // Before the restart it may have used its allowance.
+  void TestRestartedInstanceHasNoAllowanceForAWindow() {
+    RetryLimitOptions options = Options();
+    options.allowance_from = {10'000};
+    RetryLimit limit(options);
+    EXPECT(!limit.TakeRetry(kService, RetryPurpose::kResumeLostWork, {9999}));
+    EXPECT(limit.TakeRetry(kService, RetryPurpose::kResumeLostWork, {10'000}));
+  }
+
   void TestPoolCountsExpireAfterTheWindow() {
     RetryPool pool({10'000}, 0.5);
     EXPECT_EQ(0, pool.GrantRetries(kService, 3, {0}));
@@ -96,7 +106,8 @@
     // retries still count.
     EXPECT_EQ(0, pool.GrantRetries(kService, 3, {10'000}));
     EXPECT_EQ(2, pool.GrantRetries(kService, 3, {10'003}));
-    pool.SetAllowance(1);
+    pool.SetAllowance(1, {10'003});
+    EXPECT_EQ(0, pool.GrantRetries("another", 3, {10'002}));
     EXPECT_EQ(1, pool.GrantRetries("another", 3, {10'003}));
   }
 
--- a/src/forward/retry_pool.cc
+++ b/src/forward/retry_pool.cc
@@ -32,8 +32,9 @@
   Service& counts = services_[service];
   RemoveExpired(&counts.requests, now);
   RemoveExpired(&counts.granted, now);
+  const double allowance = now < allowance_from_ ? 0 : allowance_;
   const double left = ratio_ * static_cast<double>(counts.requests.total) +
-                      allowance_ - static_cast<double>(counts.granted.total);
+                      allowance - static_cast<double>(counts.granted.total);
   const int n = std::clamp(static_cast<int>(left), 0, std::max(wanted, 0));
   if (n > 0) {
     Add(&counts.granted, n, now);
--- a/src/forward/retry_pool.h
+++ b/src/forward/retry_pool.h
@@ -23,8 +23,13 @@
       : window_(window), ratio_(ratio) {}
 
   /// Sets the number of retries allowed within the window in addition to those
-  /// that the ratio allows.
-  void SetAllowance(double allowance) { allowance_ = allowance; }
+  /// that the ratio allows. None are allowed before `from`: it must be a window
+  /// after the retries granted by another holder, or by this one before a
+  /// restart, which this pool does not know.
+  void SetAllowance(double allowance, base::Millis from) {
+    allowance_ = allowance;
+    allowance_from_ = from;
+  }
 
   /// Counts `n` requests that an instance received since its last report.
   void OnRequests(const std::string& service, int n, base::Millis now);
@@ -57,6 +62,7 @@
   base::Millis window_;
   double ratio_;
   double allowance_ = 0;
+  base::Millis allowance_from_;
   std::map<std::string, Service> services_;
 };
 
--- a/src/gateway/forwarder_options.cc
+++ b/src/gateway/forwarder_options.cc
@@ -18,8 +18,8 @@
 // network partition separates them.
 constexpr double kLocalSlackShare = 0.2;
 constexpr double kPooledSlackShare = 0.4;
-// Assumed number of instances until this instance has discovered the others. No
-// deployment has many more instances than this.
+// Assumed number of instances until this instance has discovered another one.
+// No deployment has many more instances than this.
 constexpr size_t kAssumedMemberCount = 350;
 
 }  // namespace
@@ -32,22 +32,31 @@
   options.retries.ratio = settings.retries.ratio * kRatioSafetyFactor;
   options.retries.allowance =
       RetryAllowancePerMember(settings, kAssumedMemberCount);
+  options.retries.allowance_from = base::Clock::Now() + settings.retries.window;
   return options;
 }
 
 forward::RetryPool MakeRetryPool(const Settings& settings) {
   const forward::RetryLimitOptions options;
-  forward::RetryPool pool(
+  return forward::RetryPool(
       settings.retries.window,
       settings.retries.ratio * kRatioSafetyFactor * options.pooled_share);
-  pool.SetAllowance(settings.retries.slack * kPooledSlackShare /
-                    static_cast<double>(kPoolHolderCount));
-  return pool;
+}
+
+double RetryAllowancePerPool(const Settings& settings) {
+  return settings.retries.slack * kPooledSlackShare /
+         static_cast<double>(kPoolHolderCount);
 }
 
 double RetryAllowancePerMember(const Settings& settings, size_t members) {
+  const bool is_only_instance =
+      members <= 1 &&
+      std::all_of(settings.seed_peers.begin(), settings.seed_peers.end(),
+                  [&](const auto& it) { return it == settings.peer_listen; });
+  const size_t n =
+      members > 1 || is_only_instance ? members : kAssumedMemberCount;
   return settings.retries.slack * kLocalSlackShare /
-         static_cast<double>(std::max<size_t>(members, 1));
+         static_cast<double>(std::max<size_t>(n, 1));
 }
 
 }  // namespace daisypond::gateway
--- a/src/gateway/forwarder_options.h
+++ b/src/gateway/forwarder_options.h
@@ -24,6 +24,10 @@
 /// within the retry window, in addition to the ratio of retries to requests.
 double RetryAllowancePerMember(const Settings& settings, size_t members);
 
+/// Returns the same number for the pool of each holder while all members reach
+/// each other.
+double RetryAllowancePerPool(const Settings& settings);
+
 }  // namespace daisypond::gateway
 
 #endif  // DAISYPOND_GATEWAY_FORWARDER_OPTIONS_H_
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -458,9 +458,11 @@
     base::Log(base::LogLevel::kInfo, "members",
               {{"n", n}, {"before", member_count_}});
     member_count_ = n;
-    asio::post(traffic_, [this, n] {
+    known_member_count_ = std::max(known_member_count_, n);
+    // Members out of reach may live on beyond a partition.
+    asio::post(traffic_, [this, n, n_known = known_member_count_] {
       forwarder_.retry_limit.SetAllowance(
-          RetryAllowancePerMember(settings_, n));
+          RetryAllowancePerMember(settings_, n_known));
       forwarder_.retry_limit.SetUsesPool(n > 1);
     });
   }
@@ -523,6 +525,8 @@
   std::optional<StatusServer> status_server_;
   std::optional<PeerLink> peer_link_;
   size_t member_count_ = 0;
+  /// Largest number of members seen.
+  size_t known_member_count_ = 0;
   /// Of the control thread: what peers are to be told, and when it was true.
   std::vector<forward::Suspect> suspects_;
   base::Millis suspects_at_;
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -5,6 +5,7 @@
 #include "gateway/catalog_source.h"
 #include "gateway/forwarder_options.h"
 #include "gateway/settings.h"
+#include "gateway/shared_retry_budget.h"
 #include "tests/test_macros.h"
 
 namespace daisypond::gateway {
@@ -64,6 +65,7 @@
   CPPUNIT_TEST(TestParseSettings);
   CPPUNIT_TEST(TestSettingsErrorNamesFileLineAndKey);
   CPPUNIT_TEST(TestSlackOfAllInstancesStaysWithinTotal);
+  CPPUNIT_TEST(TestSlackOfASplitGroupStaysWithinTotal);
   CPPUNIT_TEST(TestOlderConfigurationIsIgnored);
   CPPUNIT_TEST(TestUnreadableConfigurationIsRejected);
   CPPUNIT_TEST(TestUnreadableTargetIsSkipped);
@@ -110,14 +112,29 @@
           RetryAllowancePerMember(settings, n) * static_cast<double>(n);
       double pooled = 0;
       for (size_t i = 0; i < kPoolHolderCount; ++i) {
-        pooled += MakeRetryPool(settings).GrantRetries("none", 1000, {0});
+        forward::RetryPool pool = MakeRetryPool(settings);
+        pool.SetAllowance(RetryAllowancePerPool(settings), {0});
+        pooled += pool.GrantRetries("none", 1000, {0});
       }
+      EXPECT(pooled > 0);
       EXPECT(own + pooled <= settings.retries.slack);
     }
     EXPECT(MakeForwarderOptions(settings).retries.ratio <=
            settings.retries.ratio);
   }
 
+  // Every member is alone, holds a pool and has its own allowance.
+  void TestSlackOfASplitGroupStaysWithinTotal() {
+    const Settings settings = *ParseSettings("f", kSettings);
+    for (const size_t n : {2, 8, 83, 300}) {
+      const double each = RetryAllowancePerMember(settings, n) +
+                          PoolAllowance(RetryAllowancePerPool(settings), 1, n);
+      EXPECT(each * static_cast<double>(n) <= settings.retries.slack);
+    }
+    // Seed peers are set, so there are other members that were not found yet.
+    EXPECT(RetryAllowancePerMember(settings, 1) * 83 <= settings.retries.slack);
+  }
+
   void TestOlderConfigurationIsIgnored() {
     source_->OnConfigurationText("7");
     source_->OnConfigurationText("5");
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -135,10 +135,7 @@
       direct_read_group_size_(settings.direct_group),
       client_(ClientOptions(), metrics),
       membership_(MakeSelfState(settings), &client_, MakeMembershipCallbacks()),
-      retry_budget_(&membership_,
-                    &client_,
-                    callbacks_.post,
-                    MakeRetryPool(settings)),
+      retry_budget_(&membership_, &client_, callbacks_.post, settings),
       request_limit_(&membership_, &client_),
       stream_records_(&membership_, &client_, callbacks_.post),
       server_(settings.peer_listen,
@@ -165,6 +162,7 @@
     }
   };
   callbacks.on_table_changed = [this] {
+    retry_budget_.OnMembersChanged();
     callbacks_.on_member_count(membership_.Table().Reachable().size() + 1);
   };
   return callbacks;
--- a/src/gateway/shared_retry_budget.cc
+++ b/src/gateway/shared_retry_budget.cc
@@ -46,6 +46,29 @@
   return holders;
 }
 
+double PoolAllowance(double allowance, size_t n_reachable, size_t n_known) {
+  return allowance * static_cast<double>(n_reachable) /
+         static_cast<double>(std::max<size_t>(n_known, 1));
+}
+
+void SharedRetryBudget::OnMembersChanged() {
+  const auto& table = membership_->Table();
+  const std::vector<std::string> holders =
+      SelectPoolHolders(table.Self(), table.Reachable());
+  const size_t n_members = table.Reachable().size() + 1;
+  n_known_members_ = std::max(n_known_members_, n_members);
+  const bool is_holder = std::find(holders.begin(), holders.end(),
+                                   table.Self().address) != holders.end();
+  if (!is_holder) {
+    holder_since_.reset();
+    pool_.SetAllowance(0, {});
+    return;
+  }
+  holder_since_ = holder_since_.value_or(base::Clock::Now());
+  pool_.SetAllowance(PoolAllowance(allowance_, n_members, n_known_members_),
+                     *holder_since_ + window_);
+}
+
 void SharedRetryBudget::LogLostReport(const std::string& holder) {
   base::Log(base::LogLevel::kWarning, "retry_report_lost",
             {{"holder", holder}});
--- a/src/gateway/shared_retry_budget.h
+++ b/src/gateway/shared_retry_budget.h
@@ -3,11 +3,14 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/clock.h"
 #include "forward/retry_pool.h"
+#include "gateway/forwarder_options.h"
+#include "gateway/settings.h"
 #include "peer/membership_protocol.h"
 #include "peer/peer_client.h"
 
@@ -21,6 +24,11 @@
     const membership::PeerState& self,
     const std::vector<membership::PeerState>& peers);
 
+/// Returns the part of a pool's allowance that it may grant while `n_reachable`
+/// of at most `n_known` members are in reach. The holders on the two sides of a
+/// partition together grant no more than the holders of the whole group.
+double PoolAllowance(double allowance, size_t n_reachable, size_t n_known);
+
 /// Shares the limit on retries between instances. Reports the number of this
 /// instance's requests to the pool holders in turn, borrows retries from them,
 /// and holds a pool for the other instances. Runs on the control thread.
@@ -33,11 +41,17 @@
   SharedRetryBudget(const peer::MembershipProtocol* membership_protocol,
                     peer::PeerClient* client,
                     std::function<void(std::function<void()>)> post,
-                    forward::RetryPool pool)
+                    const Settings& settings)
       : membership_(membership_protocol),
         client_(client),
         post_(std::move(post)),
-        pool_(std::move(pool)) {}
+        window_(settings.retries.window),
+        allowance_(RetryAllowancePerPool(settings)),
+        pool_(MakeRetryPool(settings)) {}
+
+  /// Sets what the pool of this instance may grant without requests. To be
+  /// called when the peer table may have changed.
+  void OnMembersChanged();
 
   /// Tells the next pool holder how many requests this instance has received
   /// for each service.
@@ -67,7 +81,15 @@
   const peer::MembershipProtocol* membership_;
   peer::PeerClient* client_;
   std::function<void(std::function<void()>)> post_;
+  base::Millis window_;
+  /// Allowance of a pool while all members are in reach.
+  double allowance_;
   forward::RetryPool pool_;
+  /// Largest number of members seen, including this instance.
+  size_t n_known_members_ = 1;
+  /// Since when this instance has held a pool without a break; empty while it
+  /// holds none.
+  std::optional<base::Millis> holder_since_;
   size_t round_robin_index_ = 0;
   /// For each holder that did not answer, the time until which it is skipped.
   std::map<std::string, base::Millis> failed_until_;
