Break off answers that do not end

A stream of bytes that is no event grew in memory until the request's deadline, a header, interim responses or a slow body held the request until then.

The connection is closed, the outcome is unknown, the target's failure is recorded and event=answer_without_end logged; it is not sent to the same target again and does not count as a lost target.

--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -80,9 +80,11 @@
   kVersionGone,
   /// It is not known which software version began the stream.
   kStreamUnknown,
+  /// The target sent bytes that did not complete an answer.
+  kAnswerWithoutEnd,
 };
 
-inline constexpr NameTable<Reason, 39> kReasonNames("none",
+inline constexpr NameTable<Reason, 40> kReasonNames("none",
                                                     "bad_request",
                                                     "body_too_large",
                                                     "unauthorized",
@@ -120,7 +122,8 @@
                                                     "target_replaced",
                                                     "target_limit",
                                                     "version_gone",
-                                                    "stream_unknown");
+                                                    "stream_unknown",
+                                                    "answer_without_end");
 
 /// Which attempts with an idempotency key a verdict covers.
 enum class VerdictScope : uint8_t {
--- a/src/forward/event_splitter.h
+++ b/src/forward/event_splitter.h
@@ -28,6 +28,9 @@
   /// yet.
   bool HasPartialEvent() const { return !partial_event_.empty(); }
 
+  /// Size of the event that is not complete yet.
+  size_t PartialBytes() const { return partial_event_.size(); }
+
  private:
   std::string partial_event_;
 };
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -43,6 +43,13 @@
                                                            "holder_lost",
                                                            "holder_excluded");
 
+/// The part of an answer that does not end.
+enum class AnswerPart : uint8_t { kHeader, kBody, kEvent };
+
+inline constexpr base::NameTable<AnswerPart, 3> kAnswerPartNames("header",
+                                                                 "body",
+                                                                 "event");
+
 /// Serves one request of a caller: finds its route, sends it to targets until
 /// one answers, and relays the answer. The whole request is served under the
 /// catalog that was current when the request was admitted.
@@ -602,6 +609,10 @@
       // and the target has not failed.
       return;
     }
+    if (result.reason == base::Reason::kAnswerWithoutEnd) {
+      forwarder_->selector.OnFailure(placement.id, now);
+      return;
+    }
     const bool is_connection_lost =
         result.reason == base::Reason::kTargetBroken ||
         result.reason == base::Reason::kAnswerTorn;
@@ -817,25 +828,38 @@
   /// another engine costs more than waiting.
   net::asio::awaitable<ReadStatus> ReadAnswerHeader(const Placement& placement,
                                                     ResponseReader* reader) {
-    if (route_->repeatability == catalog::Repeatability::kRunOnce) {
-      co_return co_await reader->ReadHeader(deadline_);
-    }
-    Millis timeout = HeaderTimeout();
+    const bool may_repeat =
+        route_->repeatability != catalog::Repeatability::kRunOnce;
+    Millis timeout = may_repeat ? HeaderTimeout() : kHeaderCheckPeriod;
     while (true) {
       const Millis header_deadline =
           std::min(deadline_, Clock::Now() + timeout);
       const ReadStatus status = co_await reader->ReadHeader(header_deadline);
-      if (status != ReadStatus::kTimedOut || header_deadline >= deadline_ ||
-          !route_->is_stream) {
+      if (status != ReadStatus::kTimedOut || header_deadline >= deadline_) {
         co_return status;
       }
-      if (!co_await IsAlive(placement)) {
+      if (reader->HasPartialHeader()) {
+        co_return co_await ReadRestOfHeader(placement, reader);
+      }
+      if (may_repeat && (!route_->is_stream || !co_await IsAlive(placement))) {
         co_return status;
       }
-      timeout = kProbePeriod;
+      timeout = may_repeat ? kProbePeriod : kHeaderCheckPeriod;
     }
   }
 
+  /// Gives a header that has begun a little more time.
+  net::asio::awaitable<ReadStatus> ReadRestOfHeader(const Placement& placement,
+                                                    ResponseReader* reader) {
+    const ReadStatus status = co_await reader->ReadHeader(
+        std::min(deadline_, Clock::Now() + kHeaderGraceTime));
+    if (status != ReadStatus::kTimedOut) {
+      co_return status;
+    }
+    LogAnswerWithoutEnd(placement, AnswerPart::kHeader, 0, kHeaderGraceTime);
+    co_return ReadStatus::kBroken;
+  }
+
   /// True when the target has sent data recently or answers a probe.
   net::asio::awaitable<bool> IsAlive(const Placement& placement) {
     const Millis now = Clock::Now();
@@ -872,10 +896,12 @@
 
   net::asio::awaitable<bool> SkipBody(ResponseReader* reader) {
     std::string ignored;
+    const Millis skip_deadline =
+        std::min(deadline_, Clock::Now() + kMaximumSkipTime);
     ReadStatus status = ReadStatus::kMore;
     while (status == ReadStatus::kMore &&
            ignored.size() < kMaximumSkippedBytes) {
-      status = co_await reader->ReadBodyPart(&ignored, deadline_);
+      status = co_await reader->ReadBodyPart(&ignored, skip_deadline);
     }
     co_return status == ReadStatus::kDone;
   }
@@ -929,21 +955,47 @@
 
   // ---- Answers that are not streams.
 
+  /// Reads the body into `body`. Returns kMore or kTimedOut when the body is
+  /// too large or too slow.
+  net::asio::awaitable<ReadStatus> ReadBody(const Placement& placement,
+                                            ResponseReader* reader,
+                                            std::string* body) {
+    const Millis began_at = Clock::Now();
+    const Millis grace =
+        route_->repeatability == catalog::Repeatability::kRunOnce
+            ? kBodyGraceTimeForRunOnce
+            : kBodyGraceTime;
+    ReadStatus status = ReadStatus::kMore;
+    size_t n_held = 0;
+    while (status == ReadStatus::kMore &&
+           body->size() <= kMaximumBufferedAnswerBytes &&
+           forwarder_->held_bytes <= kMaximumHeldBytes) {
+      const Millis transfer_time{static_cast<int64_t>(body->size()) /
+                                 kMinimumBodyBytesPerMs};
+      status = co_await reader->ReadBodyPart(
+          body, std::min(deadline_, began_at + grace + transfer_time));
+      forwarder_->held_bytes += body->size() - n_held;
+      n_held = body->size();
+    }
+    forwarder_->held_bytes -= n_held;
+    if (status == ReadStatus::kMore || status == ReadStatus::kTimedOut) {
+      LogAnswerWithoutEnd(placement, AnswerPart::kBody, body->size(),
+                          Clock::Now() - began_at);
+    }
+    co_return status;
+  }
+
   net::asio::awaitable<SendResult> RelayBufferedAnswer(
       const Placement& placement,
       std::shared_ptr<TargetConnection> connection,
       ResponseReader* reader) {
     std::string body;
-    ReadStatus status = ReadStatus::kMore;
-    while (status == ReadStatus::kMore) {
-      if (body.size() > kMaximumBufferedAnswerBytes) {
-        co_return SendResult{SendOutcome::kUnknown, base::Reason::kTargetBroken,
-                             std::nullopt};
-      }
-      status = co_await reader->ReadBodyPart(&body, deadline_);
-    }
+    const ReadStatus status = co_await ReadBody(placement, reader, &body);
     if (status != ReadStatus::kDone) {
-      co_return SendResult{SendOutcome::kUnknown, base::Reason::kAnswerTorn,
+      co_return SendResult{SendOutcome::kUnknown,
+                           status == ReadStatus::kBroken
+                               ? base::Reason::kAnswerTorn
+                               : base::Reason::kAnswerWithoutEnd,
                            std::nullopt};
     }
     const unsigned code = reader->Status();
@@ -1000,6 +1052,7 @@
       std::shared_ptr<TargetConnection> connection,
       ResponseReader* reader) {
     EventSplitter splitter;
+    std::optional<Millis> partial_since;
     const ConnectionReuse reuse = ChooseConnectionReuse();
     Millis last_heard_at = Clock::Now();
     bool has_event = false;
@@ -1039,6 +1092,11 @@
         }
         forwarder_->metrics->Add(base::Counter::kEventsRelayed);
       }
+      if (!splitter.HasPartialEvent()) {
+        partial_since.reset();
+      } else if (!partial_since || n_events > 0) {
+        partial_since = now;
+      }
       if (!text.empty() && now - *run_began_at_ >= kCrashAttributionPeriod) {
         RecordAnswer();
       }
@@ -1051,6 +1109,14 @@
         co_return SendResult{SendOutcome::kUnknown, base::Reason::kCallerGone,
                              std::nullopt};
       }
+      if (status == ReadStatus::kMore && partial_since &&
+          (splitter.PartialBytes() > kMaximumEventBytes ||
+           now - *partial_since >= kMaximumEventTime)) {
+        LogAnswerWithoutEnd(placement, AnswerPart::kEvent,
+                            splitter.PartialBytes(), now - *partial_since);
+        co_return SendResult{SendOutcome::kUnknown,
+                             base::Reason::kAnswerWithoutEnd, std::nullopt};
+      }
     }
     if (status == ReadStatus::kTimedOut) {
       co_return SendResult{SendOutcome::kUnknown, base::Reason::kTargetSilent,
@@ -1219,6 +1285,18 @@
          {"took_ms", took.count}});
   }
 
+  void LogAnswerWithoutEnd(const Placement& placement,
+                           AnswerPart part,
+                           size_t n_bytes,
+                           Millis took) const {
+    base::Log(base::LogLevel::kWarning, "answer_without_end",
+              {{"request", request_info_.id},
+               {"target", placement.id},
+               {"part", kAnswerPartNames.NameOf(part)},
+               {"bytes", n_bytes},
+               {"took_ms", took.count}});
+  }
+
   void LogEventOutOfOrder(const Placement& placement,
                           const StreamEvent& event) const {
     base::Log(base::LogLevel::kWarning, "event_out_of_order",
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -51,6 +51,26 @@
 inline constexpr int kMaximumStaleAnswers = 3;
 /// Maximum size of an answer body that is read only to be discarded.
 inline constexpr size_t kMaximumSkippedBytes = 256u << 10;
+/// Time allowed for a body that is read only to be discarded.
+inline constexpr base::Millis kMaximumSkipTime{500};
+/// An event of a stream must be complete within this size, and within this time
+/// after its first bytes. Packets that are lost are sent again within a second.
+inline constexpr size_t kMaximumEventBytes = 256u << 10;
+inline constexpr base::Millis kMaximumEventTime{2000};
+/// How often it is checked whether a header has begun but does not end, and how
+/// long the rest of such a header may take.
+inline constexpr base::Millis kHeaderCheckPeriod{1000};
+inline constexpr base::Millis kHeaderGraceTime{500};
+/// Time allowed for the body of an answer that is not a stream, in addition to
+/// the time that its bytes take at kMinimumBodyBytesPerMs. The answer to a
+/// request that may run only once cannot be replaced by another one, so it is
+/// awaited for longer.
+inline constexpr base::Millis kBodyGraceTime{500};
+inline constexpr base::Millis kBodyGraceTimeForRunOnce{2000};
+inline constexpr int64_t kMinimumBodyBytesPerMs = 16;
+/// Maximum total size of the answers that are being buffered. Instances have at
+/// least 160 MB of memory.
+inline constexpr size_t kMaximumHeldBytes = 48u << 20;
 /// Maximum body size of an answer that is not a stream. Such an answer is
 /// buffered completely before it is relayed.
 inline constexpr size_t kMaximumBufferedAnswerBytes = 8u << 20;
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -262,6 +262,14 @@
   CPPUNIT_TEST(TestEventAfterASkippedIdIsNotRelayed);
   CPPUNIT_TEST(TestStreamThatCannotResumeHasNoLastChunk);
   CPPUNIT_TEST(TestSlowFirstEventIsAwaitedWhileEngineAnswersProbes);
+  CPPUNIT_TEST(TestStreamOfBytesThatAreNoEventIsBrokenOff);
+  CPPUNIT_TEST(TestSlowBytesThatAreNoEventAreBrokenOff);
+  CPPUNIT_TEST(TestHeaderWithoutEndIsBrokenOff);
+  CPPUNIT_TEST(TestInterimResponsesWithoutEndAreBrokenOff);
+  CPPUNIT_TEST(TestChunkExtensionWithoutEndIsBrokenOff);
+  CPPUNIT_TEST(TestBodyWithoutEndIsBrokenOff);
+  CPPUNIT_TEST(TestSlowBodyWithoutEndIsBrokenOff);
+  CPPUNIT_TEST(TestUnframedStreamEndsWithItsConnection);
   CPPUNIT_TEST(TestRouteTimeoutIsEnforced);
   CPPUNIT_TEST(TestStoppingInstanceRefusesRequestItCannotFinish);
   CPPUNIT_TEST(TestReplacedTargetGetsNoFurtherRequests);
@@ -706,6 +714,69 @@
     EXPECT_EQ(1, n_sends_.load());
   }
 
+  void TestStreamOfBytesThatAreNoEventIsBrokenOff() {
+    ExpectStreamGoesOnElsewhere(
+        [](const std::string& id) {
+          return MakeStreamHeader(id) + MakeEvent(1);
+        },
+        MakeChunk(std::string(60'000, 'x')), base::Millis{1});
+  }
+
+  void TestSlowBytesThatAreNoEventAreBrokenOff() {
+    ExpectStreamGoesOnElsewhere(
+        [](const std::string& id) {
+          return MakeStreamHeader(id) + MakeEvent(1);
+        },
+        MakeChunk("x"), base::Millis{50});
+  }
+
+  void TestHeaderWithoutEndIsBrokenOff() {
+    ExpectStreamGoesOnElsewhere(
+        [](const std::string&) { return "HTTP/1.1 200 OK\r\nX-A: "; }, "a",
+        base::Millis{50});
+  }
+
+  void TestInterimResponsesWithoutEndAreBrokenOff() {
+    ExpectStreamGoesOnElsewhere([](const std::string&) { return ""; },
+                                "HTTP/1.1 103 Early Hints\r\n\r\n",
+                                base::Millis{50});
+  }
+
+  void TestChunkExtensionWithoutEndIsBrokenOff() {
+    ExpectStreamGoesOnElsewhere(
+        [](const std::string& id) {
+          return MakeStreamHeader(id) + MakeEvent(1) + "5;";
+        },
+        std::string(60'000, 'x'), base::Millis{1});
+  }
+
+  void TestBodyWithoutEndIsBrokenOff() {
+    ExpectCallIsAnsweredElsewhere(MakeChunk(std::string(60'000, 'x')),
+                                  base::Millis{1});
+  }
+
+  void TestSlowBodyWithoutEndIsBrokenOff() {
+    ExpectCallIsAnsweredElsewhere(MakeChunk("x"), base::Millis{20});
+  }
+
+  // The end of the connection is the end of an answer without a length; a
+  // stream that ends within an event is broken off.
+  void TestUnframedStreamEndsWithItsConnection() {
+    AddEngines(2, [](LoopbackConnection& connection,
+                     const std::string& header) {
+      const std::string after = HeaderField(header, "After-Event");
+      const std::string id = HeaderField(header, "Request-Id");
+      const std::string unframed = fmt::format(
+          "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nSeal: s\r\n"
+          "Content-Type: text/event-stream\r\n\r\n",
+          id);
+      connection.Send(unframed + (after.empty() ? "id: 1\ndata: a\n\nid: 2\nda"
+                                                : "id: 2\ndata: b\n\n"));
+      return false;
+    });
+    EXPECT_EQ(std::string("1,2,end"), EventIdsOf(ReadStream("r1", "")));
+  }
+
   void TestRouteTimeoutIsEnforced() {
     AddTarget([](LoopbackConnection& connection, const std::string&) {
       connection.ClosesWithin(kReadTimeoutMs);
@@ -1052,6 +1123,69 @@
     }
   }
 
+  static std::string MakeChunk(const std::string& bytes) {
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+  }
+
+  /// Sends `bytes` again and again until the other end closes the connection.
+  void SendWithoutEnd(const LoopbackConnection& connection,
+                      const std::string& bytes, base::Millis pause) {
+    while (connection.Send(bytes)) {
+      std::this_thread::sleep_for(pause.ToChrono());
+    }
+    ++n_broken_off_;
+  }
+
+  /// The first engine sends `begin(request id)`, then `bytes` without end. The
+  /// stream must go on at another engine soon.
+  void ExpectStreamGoesOnElsewhere(
+      const std::function<std::string(const std::string&)>& begin,
+      const std::string& bytes, base::Millis pause) {
+    constexpr base::Millis kSoon{4000};
+    AddEngines(3,
+               [&](LoopbackConnection& connection, const std::string& header) {
+                 if (++n_sends_ > 1) {
+                   return Serve(connection, header, 3, 3);
+                 }
+                 connection.Send(begin(HeaderField(header, "Request-Id")));
+                 SendWithoutEnd(connection, bytes, pause);
+                 return false;
+               });
+    const base::Millis began_at = base::Clock::Now();
+    EXPECT_EQ(std::string("1,2,3,end"), EventIdsOf(ReadStream("r1", "")));
+    EXPECT(base::Clock::Now() - began_at < kSoon);
+    // The engine notices the closed connection with one of its next sends.
+    while (n_broken_off_ == 0 && base::Clock::Now() - began_at < kSoon) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_EQ(1, n_broken_off_.load());
+  }
+
+  /// The first target sends the header of an answer, then `chunk` without end.
+  void ExpectCallIsAnsweredElsewhere(const std::string& chunk,
+                                     base::Millis pause) {
+    constexpr base::Millis kSoon{900};
+    for (int i = 0; i < 2; ++i) {
+      AddTarget([this, chunk, pause](LoopbackConnection& connection,
+                                     const std::string& header) {
+        const std::string id = HeaderField(header, "Request-Id");
+        if (++n_sends_ > 1) {
+          return connection.Send(MakeAnswer(200, id, "b"));
+        }
+        connection.Send(
+            fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nSeal: s\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n",
+                        id));
+        SendWithoutEnd(connection, chunk, pause);
+        return false;
+      });
+    }
+    const base::Millis began_at = base::Clock::Now();
+    EXPECT_EQ(std::string("200"), RequestStatus("GET", "/safe/a"));
+    EXPECT(base::Clock::Now() - began_at < kSoon);
+    EXPECT_EQ(2, n_sends_.load());
+  }
+
   void AddEnginesOfTwoVersions(const FakeTarget::RequestHandler& script) {
     versions_ = {"v1", "v2", "v2", "v1", "v1", "v2"};
     AddEngines(static_cast<int>(versions_.size()), script);
@@ -1215,6 +1349,7 @@
   /// By path: the versions that got requests for it.
   std::map<std::string, std::set<std::string>> serving_versions_;
   std::atomic<int> n_sends_ = 0;
+  std::atomic<int> n_broken_off_ = 0;
   std::string copy_address_;
   std::string serving_target_;
   /// Index of the engine that reports a prompt in prefill; negative for none.
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -144,7 +144,7 @@
   /// Time from which callers' new connections go to other instances. Valid only
   /// while stopping.
   base::Millis out_of_rotation_at;
-  /// Total size of the requests and answers that are currently in memory.
+  /// Total size of the answers that are being buffered.
   size_t held_bytes = 0;
 
  private:
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr uint32_t kMaximumHeaderBytes = 64u << 10;
+constexpr int kMaximumInterimResponses = 8;
 constexpr unsigned kContinue = 100;
 constexpr unsigned kFirstFinalStatus = 200;
 
@@ -45,6 +46,10 @@
     if (Status() < kContinue) {
       co_return ReadStatus::kBroken;
     }
+    if (Status() < kFirstFinalStatus &&
+        ++n_interim_responses_ > kMaximumInterimResponses) {
+      co_return ReadStatus::kBroken;
+    }
     if (Status() >= kFirstFinalStatus) {
       co_return parser_->is_done() ? ReadStatus::kDone : ReadStatus::kMore;
     }
--- a/src/forward/response_reader.h
+++ b/src/forward/response_reader.h
@@ -43,12 +43,19 @@
   /// `has_body` must be false for responses to HEAD requests.
   ResponseReader(std::shared_ptr<TargetConnection> connection, bool has_body);
 
-  /// Reads the next response header and skips interim responses (1xx). Returns
+  /// Reads the next response header and skips a few interim responses (1xx).
+  /// Returns
   /// kMore when the header has been read and a body follows, kDone when the
   /// response has no body, or kTimedOut when the header is not complete at
   /// `deadline`. Another call then continues with the partly read header.
   net::asio::awaitable<ReadStatus> ReadHeader(base::Millis deadline);
 
+  /// True when a part of a header has arrived.
+  bool HasPartialHeader() const {
+    return is_reading_header_ &&
+           (parser_->got_some() || connection_->Buffer().size() > 0);
+  }
+
   /// Waits until `deadline` for the next bytes of the body and appends them to
   /// `into`.
   net::asio::awaitable<ReadStatus> ReadBodyPart(std::string* into,
@@ -75,6 +82,7 @@
   bool has_body_;
   /// True while a header has been read only in part, also after a timeout.
   bool is_reading_header_ = false;
+  int n_interim_responses_ = 0;
   std::optional<Parser> parser_;
 };
 
--- a/src/forward/target_connection.cc
+++ b/src/forward/target_connection.cc
@@ -11,6 +11,7 @@
                                    std::string target,
                                    std::string address)
     : socket_(executor),
+      buffer_(kMaximumUnparsedBytes),
       target_(std::move(target)),
       address_(std::move(address)) {}
 
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -14,6 +14,10 @@
 /// A connection to a target. Carries one request at a time.
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
  public:
+  /// Maximum number of received bytes that await parsing. Headers, chunk
+  /// extensions and trailers are parsed as a whole.
+  static constexpr size_t kMaximumUnparsedBytes = 128u << 10;
+
   TargetConnection(const net::asio::any_io_executor& executor,
                    std::string target,
                    std::string address);
--- a/src/net/http_call_client.cc
+++ b/src/net/http_call_client.cc
@@ -20,7 +20,9 @@
 
 HttpCallClient::HttpCallClient(const asio::any_io_executor& executor,
                                std::string address)
-    : executor_(executor), address_(std::move(address)) {}
+    : executor_(executor),
+      address_(std::move(address)),
+      buffer_(kMaximumResponseBytes) {}
 
 asio::awaitable<bool> HttpCallClient::OpenConnection(base::Millis deadline) {
   buffer_.clear();
