End a stream whose version is gone before it waits for a repeated send

A stream without a target of its version waited for retry budget first, although it could not be served. An error answer no longer clears prompt parts of losses: it does not show that a target can write an answer on them. Found in reading; no run showed either.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/hash.h"
 #include "base/log.h"
@@ -268,6 +269,10 @@
         reason = base::Reason::kCondemned;
         break;
       }
+      if (IsVersionGone()) {
+        reason = base::Reason::kVersionGone;
+        break;
+      }
       if (send_tracker_->SendCount() > 0 && !has_unused_retry_ &&
           !co_await AcquireRetry(reason)) {
         reason = base::Reason::kRetryBudgetSpent;
@@ -282,8 +287,7 @@
         continue;
       }
       if (!placement && IsVersionGone()) {
-        reason = base::Reason::kVersionGone;
-        break;
+        continue;
       }
       if (!placement) {
         reason = send_tracker_->SendCount() == 0 && n_refusals_ == 0
@@ -1022,7 +1026,11 @@
       text = fallback_answer_;
     } else {
       forwarder_->selector.OnSuccess(placement.id, Clock::Now());
-      forwarder_->OnRequestAnswered(content_, Clock::Now());
+      // An error answer does not show that a target can run the prompt.
+      forwarder_->OnRequestAnswered(
+          {content_.hash, code < kFirstRedirect ? content_.prompt_parts
+                                                : std::vector<uint64_t>()},
+          Clock::Now());
     }
     active_connection_.reset();
     LogAnswer(code, base::Reason::kNone);
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -82,6 +82,7 @@
 
 void Forwarder::OnSuspectedByPeer(const std::vector<Suspect>& suspects) {
   std::vector<size_t> known_events;
+  known_events.reserve(suspects.size());
   for (const Suspect& it : suspects) {
     known_events.push_back(crashing_requests.CountLosses(it.id).events);
   }
--- a/src/gateway/shared_stream_records.cc
+++ b/src/gateway/shared_stream_records.cc
@@ -91,7 +91,7 @@
 
 void SharedStreamRecords::Find(const std::string& id,
                                const std::string& service,
-                               OriginCallback done) {
+                               const OriginCallback& done) {
   const auto search = std::make_shared<Search>();
   const auto finish = [id, search, done](const forward::StreamOrigin& origin) {
     if (!std::exchange(search->is_done, true)) {
--- a/src/gateway/shared_stream_records.h
+++ b/src/gateway/shared_stream_records.h
@@ -40,7 +40,7 @@
   /// once, on the control thread.
   void Find(const std::string& id,
             const std::string& service,
-            OriginCallback done);
+            const OriginCallback& done);
 
   /// To be called with each new list of targets.
   void OnTargets(const catalog::Targets& targets);
