Read the service of a stream record that a peer sends

A returning stream was refused as unknown when only peers had its record: the version was read as the service, and no route has a service of that name. TestStreamRecordOutlivesTheInstanceThatServedIt now has four members and failed before (service v2 instead of llm).

--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -200,11 +200,13 @@
     Member a("a", address, {});
     auto b = std::make_unique<Member>("b", FreeAddress(), std::vector{address});
     Member c("c", FreeAddress(), {address});
-    for (Member* it : {&a, b.get(), &c}) {
+    Member d("d", FreeAddress(), {address});
+    for (Member* it : {&a, b.get(), &c, &d}) {
       it->Start();
     }
-    EXPECT(BecomesTrue([&] { return b->member_count == 3; }, kTimeout));
-    EXPECT(BecomesTrue([&] { return a.member_count == 3; }, kTimeout));
+    for (Member* it : {&a, b.get(), &c, &d}) {
+      EXPECT(BecomesTrue([&] { return it->member_count == 4; }, kTimeout));
+    }
     for (const char* it : {"s1", "s2", "s3"}) {
       b->RecordStream(it, {"llm", "v2"});
     }
@@ -214,10 +216,14 @@
         },
         kTimeout));
     b.reset();
-    for (const char* it : {"s1", "s2", "s3"}) {
-      const forward::StreamOrigin origin = c.FindStream(it);
-      EXPECT(origin.source == forward::VersionSource::kRecord);
-      EXPECT_EQ(std::string("v2"), origin.record.version);
+    // One of the members has no copy of the record and asks the others.
+    for (Member* member : {&a, &c, &d}) {
+      for (const char* it : {"s1", "s2", "s3"}) {
+        const forward::StreamOrigin origin = member->FindStream(it);
+        EXPECT(origin.source == forward::VersionSource::kRecord);
+        EXPECT_EQ(std::string("llm"), origin.record.service);
+        EXPECT_EQ(std::string("v2"), origin.record.version);
+      }
     }
     EXPECT(a.FindStream("s4").source == forward::VersionSource::kUnknown);
   }
--- a/src/gateway/shared_stream_records.cc
+++ b/src/gateway/shared_stream_records.cc
@@ -121,7 +121,7 @@
     --search->n_pending;
     search->n_answered += reply ? 1 : 0;
     if (reply && reply->is_found()) {
-      finish({forward::VersionSource::kRecord, reply->version()});
+      finish(RecordedOrigin(*reply));
       return;
     }
     if (reply) {
