Log callers' connections that end without a complete answer

Cause looked for: attempts under planned work that were cut without an answer left no line in the logs of the instances. A connection whose last request was read in part or whole and not answered now leaves caller_unanswered, also if the process ends with it. No change of behaviour.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -66,6 +66,9 @@
         catalog_(forwarder->catalog),
         request_info_(DialectType::ParseRequestHeader(request_.fields)) {}
 
+  /// Id of the request.
+  const std::string& Id() const { return request_info_.id; }
+
   /// Serves the request until the caller has the complete answer or the request
   /// has failed.
   net::asio::awaitable<ConnectionReuse> Run() {
--- a/src/forward/session.h
+++ b/src/forward/session.h
@@ -10,6 +10,7 @@
 #include "forward/exchange.h"
 #include "forward/forwarder.h"
 #include "forward/request_reader.h"
+#include "forward/session_state.h"
 
 namespace daisypond::forward {
 
@@ -35,7 +36,22 @@
   }
 
   /// True while the connection waits for the next request.
-  bool IsIdle() const { return is_idle_; }
+  bool IsIdle() const { return state_ == SessionState::kIdle; }
+
+  /// Logs that the connection ends now, if the caller has sent bytes to which
+  /// it has no complete answer.
+  void LogUnanswered() const {
+    if (state_ == SessionState::kIdle ||
+        (state_ == SessionState::kClosing && discarded_bytes_ == 0)) {
+      return;
+    }
+    base::Log(base::LogLevel::kInfo, "caller_unanswered",
+              {{"state", kSessionStateNames.NameOf(state_)},
+               {"request", request_id_},
+               {"last_byte_age_ms", (base::Clock::Now() - last_read_at_).count},
+               {"discarded_bytes", discarded_bytes_},
+               {"stopping", forwarder_->is_stopping}});
+  }
 
   /// Closes the connection immediately.
   void Close() { connection_->Socket().Close(); }
@@ -51,7 +67,7 @@
   /// connection was closed or was idle for too long.
   net::asio::awaitable<bool> WaitForRequest() {
     const base::Millis idle_since = base::Clock::Now();
-    is_idle_ = true;
+    state_ = SessionState::kIdle;
     net::TimedSocket& socket = connection_->Socket();
     while (connection_->Buffer().size() == 0) {
       const base::Millis deadline = idle_since + Limits().idle_timeout;
@@ -68,7 +84,8 @@
         co_return false;
       }
     }
-    is_idle_ = false;
+    state_ = SessionState::kReading;
+    last_read_at_ = base::Clock::Now();
     co_return true;
   }
 
@@ -76,11 +93,14 @@
     RequestReader reader(connection_.get(), Limits());
     tl::expected<CallerRequest, RequestReadError> request =
         co_await reader.Read();
+    last_read_at_ = base::Clock::Now();
     if (!request) {
       co_return co_await Refuse(request.error());
     }
+    state_ = SessionState::kServing;
     Exchange<DialectType> exchange(forwarder_, connection_.get(),
                                    std::move(*request));
+    request_id_ = exchange.Id();
     co_return co_await exchange.Run();
   }
 
@@ -93,6 +113,8 @@
       const std::string text =
           FormatVerdictResponse(*verdict, ConnectionReuse::kClose);
       co_await connection_->Write(text, base::Clock::Now() + kCloseTimeout);
+    } else {
+      LogUnanswered();
     }
     co_return ConnectionReuse::kClose;
   }
@@ -111,6 +133,7 @@
     net::TimedSocket& socket = connection_->Socket();
     connection_->StopDisconnectWatch();
     net::ErrorCode ec;
+    state_ = SessionState::kClosing;
     socket.Raw().shutdown(net::Tcp::socket::shutdown_send, ec);
     socket.SetDeadline(base::Clock::Now() + kCloseTimeout);
     while (!ec) {
@@ -118,7 +141,12 @@
       const auto [read_ec, n] = co_await socket.Raw().async_read_some(
           connection_->Buffer().prepare(kReadBytes), net::kAsTuple);
       ec = read_ec;
+      if (n > 0) {
+        discarded_bytes_ += n;
+        last_read_at_ = base::Clock::Now();
+      }
     }
+    LogUnanswered();
     socket.Close();
   }
 
@@ -130,7 +158,13 @@
 
   Forwarder* forwarder_;
   std::shared_ptr<CallerConnection> connection_;
-  bool is_idle_ = true;
+  SessionState state_ = SessionState::kIdle;
+  /// Id of the request that is being served.
+  std::string request_id_;
+  /// When the last byte of a request was read.
+  base::Millis last_read_at_;
+  /// Bytes received after the sending direction had ended.
+  size_t discarded_bytes_ = 0;
 };
 
 }  // namespace daisypond::forward
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -160,6 +160,9 @@
     }
     const size_t n_cut = open_requests_;
     StopThreads();
+    for (const auto& it : sessions_) {
+      it.second->LogUnanswered();
+    }
     return n_cut;
   }
 
