Add failing tests for requests that a stopping instance leaves unanswered

On the present code four of the five fail: a call at a target that is slower than the stop, a body without an end and a stream without an event have no answer 200 ms after the instance has ended its open requests, and a request that waits in the socket of an idle connection is reset when that connection is closed. TestRequestThatArrivesBeforeTheIdleTimeoutIsAnswered passes.

--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -32,6 +32,10 @@
 using tests::LoopbackConnection;
 
 constexpr int kReadTimeoutMs = 3000;
+constexpr base::Millis kStall{300};
+constexpr base::Millis kStopTime{300};
+// Time allowed for an answer after the instance has ended its open requests.
+constexpr int kStopLagMs = 200;
 
 /// Formats a complete HTTP response of a target.
 std::string MakeAnswer(int status,
@@ -114,6 +118,22 @@
     }
   }
 
+  /// Keeps the instance's thread busy for `span`. Returns at once.
+  void Stall(base::Millis span) {
+    asio::post(io_, [span] { std::this_thread::sleep_for(span.ToChrono()); });
+  }
+
+  void CloseIdleConnections() {
+    asio::post(io_, [this] {
+      for (const auto& it : sessions_) {
+        const auto session = it.lock();
+        if (session != nullptr && session->IsIdle()) {
+          session->Close();
+        }
+      }
+    });
+  }
+
   /// Sets the instance's own retry allowance to zero, so that every retry must
   /// be borrowed through `borrow`.
   template <typename Borrow>
@@ -185,6 +205,7 @@
       }
       auto session = std::make_shared<Session<tests::PlainDialect>>(
           &*forwarder_, std::move(socket));
+      sessions_.push_back(session);
       asio::co_spawn(
           io_, [session]() { return session->Run(); }, asio::detached);
     }
@@ -193,6 +214,7 @@
   asio::io_context io_{1};
   std::optional<Forwarder> forwarder_;
   net::Tcp::acceptor acceptor_;
+  std::vector<std::weak_ptr<Session<tests::PlainDialect>>> sessions_;
   uint16_t port_ = 0;
   std::thread thread_;
 };
@@ -272,6 +294,11 @@
   CPPUNIT_TEST(TestUnframedStreamEndsWithItsConnection);
   CPPUNIT_TEST(TestRouteTimeoutIsEnforced);
   CPPUNIT_TEST(TestStoppingInstanceRefusesRequestItCannotFinish);
+  CPPUNIT_TEST(TestCallAtASlowTargetIsAnsweredBeforeTheInstanceStops);
+  CPPUNIT_TEST(TestAnswerWithoutEndIsAnsweredBeforeTheInstanceStops);
+  CPPUNIT_TEST(TestStreamWithoutEventIsAnsweredBeforeTheInstanceStops);
+  CPPUNIT_TEST(TestRequestOnAnIdleConnectionIsAnsweredWhenItIsClosed);
+  CPPUNIT_TEST(TestRequestThatArrivesBeforeTheIdleTimeoutIsAnswered);
   CPPUNIT_TEST(TestReplacedTargetGetsNoFurtherRequests);
   CPPUNIT_TEST(TestRequestThatCrashesTargetsIsNoLongerSent);
   CPPUNIT_TEST(TestRequestThatCrashesTargetsAfterFirstEventIsNoLongerSent);
@@ -801,6 +828,50 @@
     EXPECT_EQ(0, n_sends_.load());
   }
 
+  void TestCallAtASlowTargetIsAnsweredBeforeTheInstanceStops() {
+    AddTarget([](LoopbackConnection& connection, const std::string&) {
+      return connection.ReadUntil("", kReadTimeoutMs).empty();
+    });
+    EXPECT_EQ(std::string("504"), StatusWhenStoppedMeanwhile("/once/a"));
+  }
+
+  void TestAnswerWithoutEndIsAnsweredBeforeTheInstanceStops() {
+    AddTarget([](LoopbackConnection& connection, const std::string& header) {
+      const std::string answer =
+          MakeAnswer(200, HeaderField(header, "Request-Id"), "body");
+      connection.Send(answer.substr(0, answer.size() - 1));
+      return connection.ReadUntil("", kReadTimeoutMs).empty();
+    });
+    EXPECT_EQ(std::string("504"), StatusWhenStoppedMeanwhile("/once/a"));
+  }
+
+  void TestStreamWithoutEventIsAnsweredBeforeTheInstanceStops() {
+    AddEngines(1, [](LoopbackConnection& connection, const std::string&) {
+      return connection.ReadUntil("", kReadTimeoutMs).empty();
+    });
+    EXPECT_EQ(std::string("504"), StatusWhenStoppedMeanwhile("/stream/a"));
+  }
+
+  void TestRequestOnAnIdleConnectionIsAnsweredWhenItIsClosed() {
+    AddEchoTarget();
+    Caller caller(instance_->Port());
+    EXPECT_EQ(std::string("200"), StatusOfNext(caller));
+    instance_->Stall(kStall);
+    caller.SendRequest("POST", "/once/a", "r1", "Content-Length: 0\r\n");
+    instance_->CloseIdleConnections();
+    EXPECT_EQ(std::string("200"), ReadStatus(caller));
+  }
+
+  void TestRequestThatArrivesBeforeTheIdleTimeoutIsAnswered() {
+    AddEchoTarget();
+    SetIdleTimeout(kStall);
+    Caller caller(instance_->Port());
+    EXPECT_EQ(std::string("200"), StatusOfNext(caller));
+    instance_->Stall(kStall * 2);
+    caller.SendRequest("POST", "/once/a", "r1", "Content-Length: 0\r\n");
+    EXPECT_EQ(std::string("200"), ReadStatus(caller));
+  }
+
   void TestReplacedTargetGetsNoFurtherRequests() {
     FakeTarget& target = AddTarget(
         [](LoopbackConnection& connection, const std::string& header) {
@@ -1284,6 +1355,47 @@
     return header.size() < 12 ? header : header.substr(9, 3);
   }
 
+  static std::string ReadStatus(Caller & caller) {
+    const std::string header =
+        caller.connection->ReadUntil("\r\n\r\n", kReadTimeoutMs);
+    return header.size() < 12 ? header : header.substr(9, 3);
+  }
+
+  static std::string StatusOfNext(Caller & caller) {
+    caller.SendRequest("POST", "/once/a", "r0", "Content-Length: 0\r\n");
+    return ReadStatus(caller);
+  }
+
+  void AddEchoTarget() {
+    AddTarget([](LoopbackConnection& connection, const std::string& header) {
+      return connection.Send(
+          MakeAnswer(200, HeaderField(header, "Request-Id"), ""));
+    });
+  }
+
+  void SetIdleTimeout(base::Millis timeout) {
+    auto next =
+        std::make_shared<catalog::Configuration>(*catalog_.configuration);
+    next->limits.idle_timeout = timeout;
+    ++next->version;
+    catalog_.configuration = next;
+    instance_->Apply(catalog_);
+  }
+
+  /// Sends a request, then begins to stop the instance. Returns the status that
+  /// the caller has got when the instance ends its open requests.
+  std::string StatusWhenStoppedMeanwhile(const std::string& path) {
+    Caller caller(instance_->Port());
+    caller.SendRequest("POST", path, "r1", "Content-Length: 0\r\n");
+    while (TotalRequests() == 0) {
+      std::this_thread::yield();
+    }
+    instance_->BeginStop(kStopTime);
+    const std::string header = caller.connection->ReadUntil(
+        "\r\n\r\n", static_cast<int>(kStopTime.count) + kStopLagMs);
+    return header.size() < 12 ? header : header.substr(9, 3);
+  }
+
   std::string ReadStream(const std::string& id, const std::string& extra) {
     Caller caller(instance_->Port());
     caller.SendRequest("GET", "/stream/a", id, "Connection: close\r\n" + extra);
