End open requests when an instance stops, also while they wait for a target

Callers saw: a call that a stopping instance had sent to a target was cut without an answer when the process ended. Cause: the waits for the header and the body of an answer are bounded by the deadline of the request; only streams that had begun and the loop over targets looked at the end of the stop. The event loop was stopped while such a request still waited. Now the instance ends each open request itself when its time to stop comes: the connection to the target is closed, which ends any wait for it, and the caller gets a verdict (504 if a target may have run the request, otherwise 503). The closed connection is no evidence of a lost target.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -89,6 +89,13 @@
     co_return reuse;
   }
 
+  /// Ends the request at once, because the process stops. A caller that has
+  /// received nothing yet gets a verdict.
+  void EndForStop() {
+    is_ended_for_stop_ = true;
+    CloseActiveConnection();
+  }
+
  private:
   using Clock = base::Clock;
   using Millis = base::Millis;
@@ -264,7 +271,7 @@
 
   net::asio::awaitable<ConnectionReuse> SendUntilAnswered() {
     base::Reason reason = base::Reason::kNoTarget;
-    while (!is_caller_gone_ && TimeLeft() > kMinimumSendTime) {
+    while (!IsAbandoned() && TimeLeft() > kMinimumSendTime) {
       if (!send_tracker_->MaySendAgain()) {
         break;
       }
@@ -282,7 +289,7 @@
         break;
       }
       const std::optional<Placement> placement = co_await ChoosePlacement();
-      if (is_caller_gone_) {
+      if (IsAbandoned()) {
         break;
       }
       if (!placement && MayWaitForTarget()) {
@@ -305,7 +312,7 @@
         break;
       }
       const bool is_permitted = co_await AcquirePermit(*placement);
-      if (is_caller_gone_) {
+      if (IsAbandoned()) {
         break;
       }
       if (!is_permitted) {
@@ -510,23 +517,29 @@
                                           kRetryWaitPercent / kPercentBase;
     bool is_taken = false;
     forwarder_->OnRetryWaitBegun(service_name_);
-    while (!is_taken && !is_caller_gone_ && Clock::Now() < deadline &&
+    while (!is_taken && !IsAbandoned() && Clock::Now() < deadline &&
            TimeLeft() > kMinimumSendTime) {
       forwarder_->BorrowMissingRetries(service_name_);
       co_await Sleep(kRetryPollPeriod);
-      is_taken = !is_caller_gone_ && TakeRetry(reason);
+      is_taken = !IsAbandoned() && TakeRetry(reason);
     }
     forwarder_->OnRetryWaitEnded(service_name_);
     LogRetryWait(is_taken, Clock::Now() - began_at);
     co_return is_taken;
   }
 
+  /// True when nobody waits for an answer of a target any more.
+  bool IsAbandoned() const { return is_caller_gone_ || is_ended_for_stop_; }
+
   net::asio::awaitable<ConnectionReuse> FailRequest(base::Reason reason) {
     if (is_caller_gone_) {
       forwarder_->metrics->Add(base::Counter::kCallersGone);
       LogAnswer(0, base::Reason::kCallerGone);
       co_return ConnectionReuse::kClose;
     }
+    if (is_ended_for_stop_) {
+      reason = base::Reason::kStopping;
+    }
     if (HasStreamBegun()) {
       // The caller detects that the stream is truncated, because the last chunk
       // is missing.
@@ -540,7 +553,8 @@
       co_return co_await WriteToCaller(fallback_answer_,
                                        ConnectionReuse::kKeepOpen);
     }
-    if (TimeLeft() <= kMinimumSendTime && send_tracker_->SendCount() > 0) {
+    if (!is_ended_for_stop_ && TimeLeft() <= kMinimumSendTime &&
+        send_tracker_->SendCount() > 0) {
       reason = base::Reason::kDeadlineExceeded;
     }
     base::Verdict verdict;
@@ -586,7 +600,7 @@
     has_unused_retry_ =
         has_unused_retry_ && result.outcome == SendOutcome::kNotSent;
     LogSendEnded(placement, result, Clock::Now() - began_at);
-    if (!result.finished && !is_caller_gone_) {
+    if (!result.finished && !IsAbandoned()) {
       RecordFailure(placement, result);
     }
     co_return result;
@@ -712,10 +726,12 @@
       co_return SendResult{SendOutcome::kNotSent,
                            base::Reason::kTargetUnreachable, std::nullopt};
     }
-    if (is_caller_gone_) {
+    if (IsAbandoned()) {
       connection->Socket().Close();
-      co_return SendResult{SendOutcome::kNotSent, base::Reason::kCallerGone,
-                           std::nullopt};
+      co_return SendResult{
+          SendOutcome::kNotSent,
+          is_caller_gone_ ? base::Reason::kCallerGone : base::Reason::kStopping,
+          std::nullopt};
     }
     active_connection_ = connection;
     CheckSendAllowed();
@@ -1217,6 +1233,10 @@
 
   void OnCallerGone() {
     is_caller_gone_ = true;
+    CloseActiveConnection();
+  }
+
+  void CloseActiveConnection() {
     if (active_connection_ != nullptr) {
       active_connection_->Socket().Close();
     }
@@ -1371,6 +1391,7 @@
   /// When no target has a permit left: time until one can be expected.
   Millis permit_wait_;
   bool is_caller_gone_ = false;
+  bool is_ended_for_stop_ = false;
   /// The connection of the send in progress.
   std::shared_ptr<TargetConnection> active_connection_;
   /// The last error answer of a target. It is relayed if no other target
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -106,11 +106,18 @@
     }
   }
 
+  /// Begins to stop; after `left` all open requests are ended.
   void BeginStop(base::Millis left) {
     std::atomic<bool> is_done = false;
     asio::post(io_, [&] {
       forwarder_->is_stopping = true;
       forwarder_->stop_at = base::Clock::Now() + left;
+      stop_timer_.expires_after(left.ToChrono());
+      stop_timer_.async_wait([this](net::ErrorCode ec) {
+        if (!ec) {
+          EndRequests();
+        }
+      });
       is_done = true;
     });
     while (!is_done) {
@@ -211,7 +218,16 @@
     }
   }
 
+  void EndRequests() {
+    for (const auto& it : sessions_) {
+      if (const auto session = it.lock()) {
+        session->EndRequest();
+      }
+    }
+  }
+
   asio::io_context io_{1};
+  asio::steady_timer stop_timer_{io_};
   std::optional<Forwarder> forwarder_;
   net::Tcp::acceptor acceptor_;
   std::vector<std::weak_ptr<Session<tests::PlainDialect>>> sessions_;
--- a/src/forward/send_tracker.cc
+++ b/src/forward/send_tracker.cc
@@ -76,8 +76,9 @@
     return verdict.reason == base::Reason::kWorkspaceLimit ? kTooMany
                                                            : kUnavailable;
   }
-  return verdict.reason == base::Reason::kDeadlineExceeded ? kTimeout
-                                                           : kBadGateway;
+  const bool is_given_up = verdict.reason == base::Reason::kDeadlineExceeded ||
+                           verdict.reason == base::Reason::kStopping;
+  return is_given_up ? kTimeout : kBadGateway;
 }
 
 }  // namespace daisypond::forward
--- a/src/forward/session.h
+++ b/src/forward/session.h
@@ -53,6 +53,13 @@
                {"stopping", forwarder_->is_stopping}});
   }
 
+  /// Ends the request that is being served, if any, because the process stops.
+  void EndRequest() {
+    if (exchange_ != nullptr) {
+      exchange_->EndForStop();
+    }
+  }
+
   /// Closes the connection immediately.
   void Close() { connection_->Socket().Close(); }
 
@@ -101,7 +108,10 @@
     Exchange<DialectType> exchange(forwarder_, connection_.get(),
                                    std::move(*request));
     request_id_ = exchange.Id();
-    co_return co_await exchange.Run();
+    exchange_ = &exchange;
+    const ConnectionReuse reuse = co_await exchange.Run();
+    exchange_ = nullptr;
+    co_return reuse;
   }
 
   net::asio::awaitable<ConnectionReuse> Refuse(RequestReadError read_error) {
@@ -159,6 +169,8 @@
   Forwarder* forwarder_;
   std::shared_ptr<CallerConnection> connection_;
   SessionState state_ = SessionState::kIdle;
+  /// The exchange of the request that is being served, or null.
+  Exchange<DialectType>* exchange_ = nullptr;
   /// Id of the request that is being served.
   std::string request_id_;
   /// When the last byte of a request was read.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -478,6 +478,16 @@
     forwarder_.stop_at = stop_began_at + settings_.stop_grace - kStopMargin;
     forwarder_.out_of_rotation_at = stop_began_at + kBalancerRemovalDelay;
     stopping_since_ = stop_began_at;
+    asio::co_spawn(traffic_, EndRequestsAtStop(), asio::detached);
+  }
+
+  asio::awaitable<void> EndRequestsAtStop() {
+    asio::steady_timer timer(traffic_, std::chrono::steady_clock::time_point(
+                                           forwarder_.stop_at.ToChrono()));
+    co_await timer.async_wait(net::kAsTuple);
+    for (const auto& it : sessions_) {
+      it.second->EndRequest();
+    }
   }
 
   /// Closes the connections without an open request, once the load balancer
