--- /dev/null
+++ b/meta/forwarding_stand_ins.py
@@ -0,0 +1,141 @@
+"""Processes of the forwarding interface, and the table service that they read.
+
+Shared by the tests that run `daisypond-entry` as processes.
+"""
+import base64
+import http.server
+import json
+import os
+import pathlib
+import subprocess
+import threading
+import time
+import urllib.parse
+
+BUILD = pathlib.Path(os.environ.get(
+    "DAISYPOND_BUILD", pathlib.Path(__file__).resolve().parent.parent / "build"))
+HOST = "127.0.0.1"
+
+
+def encode(value):
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+class Tables:
+    """The rows of the table service. Thread-safe."""
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.version = 1
+        self.rows = {}
+
+    def put(self, table, key, value):
+        with self.changed:
+            self.version += 1
+            self.rows[table, key] = (self.version, encode(value))
+            self.changed.notify_all()
+
+    # Returns the rows of a table that are newer than `version`.
+    def read(self, table, version=0):
+        with self.changed:
+            return self.version, [
+                {"table": table, "part": "", "key": key, "value": value,
+                 "ver": ver}
+                for (its_table, key), (ver, value) in sorted(self.rows.items())
+                if its_table == table and ver > version]
+
+    # Waits up to `wait_s` for rows that are newer than `version`.
+    def wait(self, table, version, wait_s):
+        deadline = time.monotonic() + wait_s
+        with self.changed:
+            while True:
+                newest, rows = self.read(table, version)
+                left = deadline - time.monotonic()
+                if rows or left <= 0:
+                    return newest, rows
+                self.changed.wait(left)
+
+
+def make_store_handler(tables):
+    class StoreHandler(http.server.BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def do_GET(self):
+            url = urllib.parse.urlparse(self.path)
+            query = dict(urllib.parse.parse_qsl(url.query))
+            table = query.get("table", "")
+            if url.path == "/rows-get":
+                version, rows = tables.read(table)
+            else:
+                version, rows = tables.wait(
+                    table, int(query.get("after_rev", 0)),
+                    int(query.get("wait_ms", 0)) / 1000)
+            self.answer({"rows": rows, "ver": version, "now_ms": 1,
+                         "has_more": False})
+
+        def do_POST(self):
+            self.rfile.read(int(self.headers["Content-Length"]))
+            self.answer({"ver": tables.version, "now_ms": 1})
+
+        def answer(self, value):
+            body = json.dumps(value).encode()
+            try:
+                self.send_response(200)
+                self.send_header("Content-Type", "application/json")
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+            except OSError:
+                self.close_connection = True  # The instance was killed.
+
+        def log_message(self, *_):
+            pass
+
+    return StoreHandler
+
+
+# Starts a table service with these rows and returns its address.
+def start_store(tables):
+    store = http.server.ThreadingHTTPServer((HOST, 0),
+                                            make_store_handler(tables))
+    threading.Thread(target=store.serve_forever, daemon=True).start()
+    return "%s:%d" % store.server_address
+
+
+class Instance:
+    """One process of the forwarding interface. `extra` ends its settings."""
+
+    def __init__(self, index, port, folder, store, grace_s=8, extra=""):
+        self.port = port + index * 4
+        seeds = ", ".join(f'"{HOST}:{port + i * 4 + 3}"' for i in range(3))
+        self.settings = folder / f"{index}.yaml"
+        self.log = folder / f"{index}.log"
+        self.text = f"""interface: forward
+instance: i{index}
+failure_domain: d{index % 4}
+listen: {HOST}:{self.port}
+ready_listen: {HOST}:{self.port + 1}
+metrics_listen: {HOST}:{self.port + 2}
+peer_listen: {HOST}:{self.port + 3}
+seed_peers: [{seeds}]
+store: {store}
+stop_grace_s: {grace_s}
+"""
+        self.write_settings(extra)
+        self.process = None
+
+    def write_settings(self, extra):
+        self.settings.write_text(self.text + extra)
+
+    def start(self):
+        with open(self.log, "a") as log:
+            self.process = subprocess.Popen(
+                [BUILD / "daisypond-entry", "--config", self.settings],
+                stdout=log, stderr=subprocess.STDOUT)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def signal(self, number):
+        self.process.send_signal(number)
--- a/meta/retry_budget_test.py
+++ b/meta/retry_budget_test.py
@@ -7,25 +7,18 @@
 repeats for each request plus `SLACK`, from all instances together.
 """
 import argparse
-import base64
 import http.client
-import http.server
-import json
-import os
 import pathlib
 import random
 import signal
 import socket
-import subprocess
 import sys
 import tempfile
 import threading
 import time
-import urllib.parse
 
-BUILD = pathlib.Path(os.environ.get(
-    "DAISYPOND_BUILD", pathlib.Path(__file__).resolve().parent.parent / "build"))
-HOST = "127.0.0.1"
+from forwarding_stand_ins import HOST, Instance, Tables, start_store
+
 INSTANCES = 8
 TARGETS = 6
 REQUESTS_PER_S = 12
@@ -35,10 +28,11 @@
 TIMEOUT_MS = 3000
 MAX_TARGETS = 5
 DEADLINE_SLACK_S = 0.5
-
-
-def encode(value):
-    return base64.b64encode(json.dumps(value).encode()).decode()
+RETRY_SETTINGS = f"""retries:
+  window_s: {WINDOW_S:.0f}
+  ratio: {RATIO}
+  slack: {SLACK}
+"""
 
 
 def configuration():
@@ -135,77 +129,7 @@
             connection.close()
 
 
-class StoreHandler(http.server.BaseHTTPRequestHandler):
-    protocol_version = "HTTP/1.1"
-    rows = {}
-
-    def do_GET(self):
-        url = urllib.parse.urlparse(self.path)
-        query = dict(urllib.parse.parse_qsl(url.query))
-        rows = []
-        if url.path == "/rows-get":
-            rows = [{"table": query["table"], "part": "", "key": key,
-                     "value": value, "ver": 1}
-                    for key, value in self.rows.get(query["table"], {}).items()]
-        else:
-            time.sleep(int(query.get("wait_ms", 0)) / 1000)
-        self.answer({"rows": rows, "ver": 1, "now_ms": 1, "has_more": False})
-
-    def do_POST(self):
-        self.rfile.read(int(self.headers["Content-Length"]))
-        self.answer({"ver": 1, "now_ms": 1})
-
-    def answer(self, value):
-        body = json.dumps(value).encode()
-        try:
-            self.send_response(200)
-            self.send_header("Content-Type", "application/json")
-            self.send_header("Content-Length", str(len(body)))
-            self.end_headers()
-            self.wfile.write(body)
-        except OSError:
-            self.close_connection = True  # The instance was killed.
-
-    def log_message(self, *_):
-        pass
-
-
-class Instance:
-    def __init__(self, index, port, folder, store):
-        self.port = port + index * 4
-        seeds = ", ".join(f'"{HOST}:{port + i * 4 + 3}"' for i in range(3))
-        self.settings = folder / f"{index}.yaml"
-        self.log = folder / f"{index}.log"
-        self.settings.write_text(f"""interface: forward
-instance: i{index}
-failure_domain: d{index % 4}
-listen: {HOST}:{self.port}
-ready_listen: {HOST}:{self.port + 1}
-metrics_listen: {HOST}:{self.port + 2}
-peer_listen: {HOST}:{self.port + 3}
-seed_peers: [{seeds}]
-store: {store}
-stop_grace_s: 8
-retries:
-  window_s: {WINDOW_S:.0f}
-  ratio: {RATIO}
-  slack: {SLACK}
-""")
-        self.process = None
-
-    def start(self):
-        with open(self.log, "a") as log:
-            self.process = subprocess.Popen(
-                [BUILD / "daisypond-entry", "--config", self.settings],
-                stdout=log, stderr=subprocess.STDOUT)
-
-    def kill(self):
-        self.process.kill()
-        self.process.wait()
-
-    def signal(self, number):
-        self.process.send_signal(number)
-
+class CallingInstance(Instance):
     def request(self, name, arrivals):
         connection = http.client.HTTPConnection(HOST, self.port, timeout=4)
         with arrivals.lock:
@@ -268,17 +192,17 @@
     rng = random.Random(arguments.seed)
     arrivals = Arrivals()
     targets = [Target(arrivals) for _ in range(TARGETS)]
-    StoreHandler.rows = {
-        "op": {"config": encode(configuration())},
-        "servers": {f"t{i}": encode({
+    tables = Tables()
+    tables.put("op", "config", configuration())
+    for i, it in enumerate(targets):
+        tables.put("servers", f"t{i}", {
             "service": "s", "address": it.address, "zone": f"d{i % 4}",
             "version": "v1", "slots": 8, "state": "ready", "seq": 1,
-            "born": 1000}) for i, it in enumerate(targets)}}
-    store = http.server.ThreadingHTTPServer((HOST, 0), StoreHandler)
-    threading.Thread(target=store.serve_forever, daemon=True).start()
+            "born": 1000})
+    store = start_store(tables)
     folder = pathlib.Path(tempfile.mkdtemp(prefix="daisypond-budget-"))
-    instances = [Instance(i, arguments.port, folder,
-                          "%s:%d" % store.server_address)
+    instances = [CallingInstance(i, arguments.port, folder, store,
+                                 extra=RETRY_SETTINGS)
                  for i in range(INSTANCES)]
     end = threading.Event()
     try:
