--- a/meta/stop_soak_test.py
+++ b/meta/stop_soak_test.py
@@ -207,15 +207,15 @@
         self.data = b""
         self.end = None
 
-    # True when the other end has closed or sent bytes that nobody asked for.
-    def has_ended(self):
+    # Returns what can be read: nothing at the connection's end; None if the
+    # other end is silent.
+    def peek(self):
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
-            return True
+            return self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
+            return b""
 
     async def send(self, data):
         await asyncio.get_running_loop().sock_sendall(self.sock, data)
@@ -274,7 +274,9 @@
                 await asyncio.sleep(self.rng.uniform(0.02, 0.08))
                 continue
             await asyncio.sleep(self.pause_s())
-            if self.connection.has_ended():
+            seen = self.connection.peek()
+            if seen is not None:
+                self.test.n_extra += bool(seen)
                 self.disconnect()
                 continue
             try:
@@ -330,14 +332,15 @@
                 f"Content-Length: {len(body)}\r\n\r\n").encode()
         return name, path, head, body, timeout_ms / 1000
 
-    # Sends the request. Returns False if the connection ended before that.
+    # Sends the request. Returns False if the connection ended, or the answer
+    # came, before its last byte.
     async def send(self, head, body):
         if self.kind != "slow_body":
             await self.connection.send(head + body)
             return True
         await self.connection.send(head + body[:-1])
         await asyncio.sleep(self.rng.uniform(0, 0.4))
-        if self.connection.has_ended():
+        if self.connection.peek() is not None:
             return False
         await self.connection.send(body[-1:])
         return True
@@ -358,6 +361,7 @@
         call.is_answered = is_kept is not None
         if self.connection.data:
             call.received += self.connection.data
+            self.test.wrong.append(call)
             is_kept = False
         return bool(is_kept)
 
@@ -521,6 +525,7 @@
         self.arguments = arguments
         self.calls = []
         self.wrong = []
+        self.n_extra = 0
         self.incarnations = []
         self.is_over = False
         self.lock = threading.Lock()
@@ -639,7 +644,7 @@
 
 def report(test, folder):
     logs = Logs(test.servers)
-    counts = collections.Counter()
+    counts = collections.Counter(extra_bytes=test.n_extra)
     for call in test.calls:
         kind = test.violation(call)
         if kind:
