--- a/meta/stop_soak_test.py
+++ b/meta/stop_soak_test.py
@@ -418,6 +418,8 @@
         self.rng = random.Random(f"{arguments.seed} server {index}")
         self.incarnation = None
         self.is_throttled = False
+        self.ran_s = 0
+        self.stood_s = 0
 
     # The platform sends few new connections to a process that is not ready;
     # in every other round it sends all of them until the process has ended.
@@ -450,10 +452,14 @@
             if self.off_s <= 0 or not self.is_throttled:
                 time.sleep(0.005)
                 continue
+            stopped_at = time.monotonic()
             self.signal(signal.SIGSTOP)
             time.sleep(self.off_s)
+            continued_at = time.monotonic()
             self.signal(signal.SIGCONT)
             time.sleep(self.on_s)
+            self.stood_s += continued_at - stopped_at
+            self.ran_s += time.monotonic() - continued_at
 
     def reload(self):
         self.write_settings(
@@ -669,13 +675,16 @@
     ages = sorted(it.age_ms() for it in test.calls
                   if it.is_answered and it.kind == "kept")
     counts = +counts
+    ran_s = sum(it.ran_s for it in test.servers)
+    stood_s = sum(it.stood_s for it in test.servers)
     holds = not counts and answers[200] > 0 and answers[503] > 0
     print(f"{'ok' if holds else 'FAILED'}: violations {dict(counts)}; "
           f"{len(test.calls)} requests, answers {dict(answers)}, without "
           f"{lost}; median age {ages[len(ages) // 2]:.0f} ms, largest lag "
           f"{test.lag.largest_ms():.0f} ms; "
-          f"seed {test.arguments.seed}, duty {test.arguments.duty}, grace "
-          f"{test.arguments.grace} s, logs in {folder}")
+          f"seed {test.arguments.seed}, ran {ran_s:.1f} s of "
+          f"{ran_s + stood_s:.1f} s, grace {test.arguments.grace} s, logs in "
+          f"{folder}")
     return 0 if holds else 1
 
 
