--- a/meta/stop_soak_test.py
+++ b/meta/stop_soak_test.py
@@ -634,8 +634,11 @@
 
 def describe(test, logs, kind, call):
     it = call.incarnation
-    ms = lambda at, since: ("-" if at is None or since is None
-                            else f"{(at - since) * 1000:.0f}")
+
+    def ms(at, since):
+        return ("-" if at is None or since is None
+                else f"{(at - since) * 1000:.0f}")
+
     runs = ";".join(f"{ms(a, call.sent_at)}..{ms(b, call.sent_at)}"
                     for a, b in test.targets.runs.get(call.id, [])) or "-"
     return (f"violation={kind} request={call.id} instance={it.instance} "
