Answer requests that arrive while their idle connection is closed

Callers saw: a request on a kept connection got no answer although the instance served others for seconds. Cause: a stopping instance closed the connections that it believed idle without a look at what had arrived; a request that waited in the socket was reset. If its bytes had been read but the session had not resumed yet, it was even sent to a target, and its answer had no caller. The idle timeout cancelled the read in the same way. Now the read is cancelled and the session itself decides: what was read or waits to be read is served. A connection that is closed while idle no longer discards bytes for half a second.

--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -133,9 +133,8 @@
   void CloseIdleConnections() {
     asio::post(io_, [this] {
       for (const auto& it : sessions_) {
-        const auto session = it.lock();
-        if (session != nullptr && session->IsIdle()) {
-          session->Close();
+        if (const auto session = it.lock()) {
+          session->CloseIfIdle();
         }
       }
     });
--- a/src/forward/session.h
+++ b/src/forward/session.h
@@ -29,10 +29,12 @@
     while (co_await WaitForRequest()) {
       const ConnectionReuse reuse = co_await ServeRequest();
       if (reuse == ConnectionReuse::kClose) {
-        break;
+        co_await CloseGracefully();
+        co_return;
       }
     }
-    co_await CloseGracefully();
+    // Nothing is unread, so the caller gets all of the last answer.
+    connection_->Socket().Close();
   }
 
   /// True while the connection waits for the next request.
@@ -60,8 +62,14 @@
     }
   }
 
-  /// Closes the connection immediately.
-  void Close() { connection_->Socket().Close(); }
+  /// Closes the connection, unless a request is being served or has arrived.
+  void CloseIfIdle() {
+    if (IsIdle()) {
+      is_ending_ = true;
+      net::ErrorCode ignored;
+      connection_->Socket().Raw().cancel(ignored);
+    }
+  }
 
  private:
   const catalog::CallerLimits& Limits() const {
@@ -71,23 +79,20 @@
   }
 
   /// Waits for the first bytes of the next request. Returns false when the
-  /// connection was closed or was idle for too long.
+  /// connection was closed, was idle for too long or is to end, and no byte has
+  /// arrived.
   net::asio::awaitable<bool> WaitForRequest() {
     const base::Millis idle_since = base::Clock::Now();
     state_ = SessionState::kIdle;
     net::TimedSocket& socket = connection_->Socket();
     while (connection_->Buffer().size() == 0) {
-      const base::Millis deadline = idle_since + Limits().idle_timeout;
-      socket.SetDeadline(deadline);
+      socket.SetDeadline(idle_since + Limits().idle_timeout);
       const auto [ec, n] = co_await socket.Raw().async_read_some(
           connection_->Buffer().prepare(kReadBytes), net::kAsTuple);
       socket.ClearDeadline();
       connection_->Buffer().commit(n);
-      // A new configuration may have raised the idle timeout during the wait.
-      const bool may_keep_waiting =
-          socket.HasTimedOut() && socket.Raw().is_open() &&
-          base::Clock::Now() < idle_since + Limits().idle_timeout;
-      if (ec && !may_keep_waiting) {
+      const bool is_interrupted = is_ending_ || socket.HasTimedOut();
+      if (ec && !(is_interrupted && MayKeepWaiting(idle_since))) {
         co_return false;
       }
     }
@@ -96,6 +101,14 @@
     co_return true;
   }
 
+  /// True when the wait for a request goes on after an interruption: a request
+  /// has just arrived, or a new configuration has raised the idle timeout.
+  bool MayKeepWaiting(base::Millis idle_since) {
+    return connection_->Socket().HasUnreadBytes() ||
+           (!is_ending_ &&
+            base::Clock::Now() < idle_since + Limits().idle_timeout);
+  }
+
   net::asio::awaitable<ConnectionReuse> ServeRequest() {
     RequestReader reader(connection_.get(), Limits());
     tl::expected<CallerRequest, RequestReadError> request =
@@ -169,6 +182,8 @@
   Forwarder* forwarder_;
   std::shared_ptr<CallerConnection> connection_;
   SessionState state_ = SessionState::kIdle;
+  /// True when the connection ends unless a request has arrived.
+  bool is_ending_ = false;
   /// The exchange of the request that is being served, or null.
   Exchange<DialectType>* exchange_ = nullptr;
   /// Id of the request that is being served.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -497,9 +497,7 @@
       return;
     }
     for (const auto& it : sessions_) {
-      if (it.second->IsIdle()) {
-        it.second->Close();
-      }
+      it.second->CloseIfIdle();
     }
   }
 
--- a/src/net/timed_socket.cc
+++ b/src/net/timed_socket.cc
@@ -112,6 +112,11 @@
   Close();
 }
 
+bool TimedSocket::HasUnreadBytes() {
+  return socket_.is_open() &&
+         Peek(socket_.native_handle()) == PeekResult::kData;
+}
+
 bool TimedSocket::HasInputOrIsClosed() {
   return !socket_.is_open() ||
          Peek(socket_.native_handle()) != PeekResult::kNoData;
--- a/src/net/timed_socket.h
+++ b/src/net/timed_socket.h
@@ -69,6 +69,9 @@
   /// Closes the socket so that the other end sees a reset.
   void Reset();
 
+  /// True when received bytes wait to be read. Does not block or consume bytes.
+  bool HasUnreadBytes();
+
   /// True when the connection is closed or has unread bytes. Does not block or
   /// consume bytes.
   bool HasInputOrIsClosed();
