Close all callers' connections before a stopping process ends

Callers saw: whole requests without an answer or a refusal when an instance was stopped; the connection was reset up to 1.6 s after the request. Cause: the event loop was stopped 125 ms before the end of the grace with the listening socket and callers' connections open, and these stayed open, served by nobody, while the process waited for the threads of the status server (0.5 to 1.2 s), until it was killed. All open streams ended in one burst in the 125 ms before; whether connections were open was read from another thread. The status server ends when the load balancer no longer asks. The instance can no longer say that it is ready after the stop has begun.

--- a/src/forward/session.h
+++ b/src/forward/session.h
@@ -62,6 +62,9 @@
     }
   }
 
+  /// Closes the connection at once.
+  void Close() { connection_->Socket().Close(); }
+
   /// Closes the connection, unless a request is being served or has arrived.
   void CloseIfIdle() {
     if (IsIdle()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <future>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,6 +27,7 @@
 #include "gateway/release_records.h"
 #include "gateway/settings.h"
 #include "gateway/status_server.h"
+#include "gateway/stop_schedule.h"
 #include "net/address.h"
 
 namespace daisypond::gateway {
@@ -145,24 +147,25 @@
     return true;
   }
 
-  /// Continues to serve open and new requests until no connection is open
-  /// or Settings::stop_grace has nearly passed, then stops. Returns the number
-  /// of connections that were cut during a request.
+  /// Serves until no connection is open or Settings::stop_grace has nearly
+  /// passed, then stops. Returns the number of connections that were closed
+  /// with a request open.
   size_t Stop() {
     is_ready_ = false;
-    const base::Millis stop_began_at = base::Clock::Now();
-    asio::post(traffic_, [this, stop_began_at] { BeginStop(stop_began_at); });
+    const StopSchedule schedule(base::Clock::Now(), settings_.stop_grace);
+    std::promise<size_t> drained;
+    asio::post(traffic_, [this, schedule, &drained] {
+      BeginStop(schedule);
+      asio::co_spawn(traffic_, Drain(&drained), asio::detached);
+    });
     asio::post(control_, [this] { peer_link_->LeaveGroup(); });
-    std::this_thread::sleep_for(kBalancerRemovalDelay.ToChrono());
+    std::this_thread::sleep_for(
+        (schedule.OutOfRotationAt() - base::Clock::Now()).ToChrono());
     peer_link_->StopServing();
-    while (!IsDrained(stop_began_at)) {
-      std::this_thread::sleep_for(kDrainPollPeriod.ToChrono());
-    }
-    const size_t n_cut = open_requests_;
+    // Waits for the threads of the server, which can take a second.
+    status_server_.reset();
+    const size_t n_cut = drained.get_future().get();
     StopThreads();
-    for (const auto& it : sessions_) {
-      it.second->LogUnanswered();
-    }
     return n_cut;
   }
 
@@ -179,11 +182,6 @@
  private:
   using Session = forward::Session<HeaderDialect>;
 
-  // The load balancer sends new connections until two checks of /readyz, one
-  // second apart, have failed.
-  static constexpr base::Millis kBalancerRemovalDelay{2500};
-  // Reserved for closing connections before the process is killed.
-  static constexpr base::Millis kStopMargin{250};
   static constexpr base::Millis kDrainPollPeriod{50};
   static constexpr base::Millis kMaintenancePeriod{500};
   static constexpr base::Millis kDropMissingTargetsPeriod{200};
@@ -295,33 +293,50 @@
   }
 
   asio::awaitable<void> AcceptConnections() {
-    while (true) {
+    while (acceptor_.is_open()) {
       auto [ec, socket] = co_await acceptor_.async_accept(net::kAsTuple);
-      if (ec) {
+      if (!ec) {
+        StartSession(std::move(socket));
+      } else if (acceptor_.is_open()) {
         LogAcceptFailed(ec);
         asio::steady_timer timer(traffic_, kDrainPollPeriod.ToChrono());
         co_await timer.async_wait(net::kAsTuple);
-        continue;
       }
-      asio::co_spawn(traffic_, ServeConnection(std::move(socket)),
-                     asio::detached);
     }
   }
 
+  /// Accepts the connections that callers have opened already. Returns their
+  /// number.
+  size_t AcceptWaitingConnections() {
+    net::ErrorCode ec;
+    acceptor_.non_blocking(true, ec);
+    size_t n = 0;
+    while (!ec) {
+      net::Tcp::socket socket(traffic_);
+      acceptor_.accept(socket, ec);
+      if (!ec) {
+        StartSession(std::move(socket));
+        ++n;
+      }
+    }
+    return n;
+  }
+
   static void LogAcceptFailed(const net::ErrorCode& ec) {
     base::Log(base::LogLevel::kWarning, "accept_failed",
               {{"error", ec.message()}});
   }
 
-  asio::awaitable<void> ServeConnection(net::Tcp::socket socket) {
+  void StartSession(net::Tcp::socket socket) {
     const uint64_t id = ++last_session_id_;
-    const auto session =
-        std::make_shared<Session>(&forwarder_, std::move(socket));
-    sessions_[id] = session;
-    UpdateOpenCounts();
+    sessions_[id] = std::make_shared<Session>(&forwarder_, std::move(socket));
+    asio::co_spawn(traffic_, RunSession(id), asio::detached);
+  }
+
+  asio::awaitable<void> RunSession(uint64_t id) {
+    const std::shared_ptr<Session> session = sessions_[id];
     co_await session->Run();
     sessions_.erase(id);
-    UpdateOpenCounts();
   }
 
   asio::awaitable<void> RunMaintenance() {
@@ -331,10 +346,6 @@
       co_await timer.async_wait(net::kAsTuple);
       forwarder_.connection_pool.CloseExpired(base::Clock::Now());
       PublishSuspects();
-      if (forwarder_.is_stopping) {
-        CloseIdleSessions();
-      }
-      UpdateOpenCounts();
     }
   }
 
@@ -473,54 +484,66 @@
     });
   }
 
-  void BeginStop(base::Millis stop_began_at) {
+  void BeginStop(const StopSchedule& schedule) {
+    stop_schedule_ = schedule;
     forwarder_.is_stopping = true;
-    forwarder_.stop_at = stop_began_at + settings_.stop_grace - kStopMargin;
-    forwarder_.out_of_rotation_at = stop_began_at + kBalancerRemovalDelay;
-    stopping_since_ = stop_began_at;
-    asio::co_spawn(traffic_, EndRequestsAtStop(), asio::detached);
+    forwarder_.stop_at = schedule.EndRequestsAt();
+    forwarder_.out_of_rotation_at = schedule.OutOfRotationAt();
+    is_ready_ = false;
   }
 
-  asio::awaitable<void> EndRequestsAtStop() {
-    asio::steady_timer timer(traffic_, std::chrono::steady_clock::time_point(
-                                           forwarder_.stop_at.ToChrono()));
-    co_await timer.async_wait(net::kAsTuple);
-    for (const auto& it : sessions_) {
-      it.second->EndRequest();
+  /// Closes the connections of callers as StopSchedule says, each after the
+  /// answer to its last request. `drained` gets the number of connections that
+  /// were closed with a request open.
+  asio::awaitable<void> Drain(std::promise<size_t>* drained) {
+    asio::steady_timer timer(traffic_);
+    StopPhase phase = StopPhase::kLeavingRotation;
+    bool is_drained = false;
+    while (phase != StopPhase::kClosing && !is_drained) {
+      timer.expires_after(kDrainPollPeriod.ToChrono());
+      co_await timer.async_wait(net::kAsTuple);
+      const base::Millis now = base::Clock::Now();
+      phase = stop_schedule_.PhaseAt(now);
+      if (phase != StopPhase::kLeavingRotation) {
+        for (const auto& it : sessions_) {
+          it.second->CloseIfIdle();
+        }
+      }
+      if (phase == StopPhase::kEnding) {
+        CloseAcceptor();
+        for (const auto& it : sessions_) {
+          it.second->EndRequest();
+        }
+      }
+      is_drained = sessions_.empty() && stop_schedule_.MayEndEarly(now) &&
+                   CloseAcceptor() == 0;
     }
+    drained->set_value(CloseSessions());
   }
 
-  /// Closes the connections without an open request, once the load balancer
-  /// has stopped sending new connections.
-  void CloseIdleSessions() {
-    if (base::Clock::Now() < stopping_since_ + kBalancerRemovalDelay) {
-      return;
-    }
-    for (const auto& it : sessions_) {
-      it.second->CloseIfIdle();
+  /// Takes no further connections, except those that callers have opened
+  /// already. Returns their number.
+  size_t CloseAcceptor() {
+    if (!acceptor_.is_open()) {
+      return 0;
     }
+    const size_t n = AcceptWaitingConnections();
+    net::ErrorCode ignored;
+    acceptor_.close(ignored);
+    return n;
   }
 
-  void UpdateOpenCounts() {
+  /// Closes all connections of callers. Returns the number of those with an
+  /// open request.
+  size_t CloseSessions() {
+    CloseAcceptor();
     size_t n = 0;
     for (const auto& it : sessions_) {
       n += it.second->IsIdle() ? 0 : 1;
+      it.second->LogUnanswered();
+      it.second->Close();
     }
-    open_requests_ = n;
-    open_connections_ = sessions_.size();
-  }
-
-  /// True when the process can end: the load balancer has stopped sending new
-  /// connections and no connection is open, or Settings::stop_grace has nearly
-  /// passed.
-  bool IsDrained(base::Millis stop_began_at) const {
-    const base::Millis now = base::Clock::Now();
-    if (now >= stop_began_at + settings_.stop_grace - kStopMargin / 2) {
-      return true;
-    }
-    return now >=
-               stop_began_at + kBalancerRemovalDelay + kMaintenancePeriod * 2 &&
-           open_connections_ == 0;
+    return n;
   }
 
   Settings settings_;
@@ -548,10 +571,8 @@
   bool is_sharing_parts_ = false;
   std::map<uint64_t, std::shared_ptr<Session>> sessions_;
   uint64_t last_session_id_ = 0;
-  base::Millis stopping_since_;
+  StopSchedule stop_schedule_;
   std::atomic<bool> is_ready_ = false;
-  std::atomic<size_t> open_requests_ = 0;
-  std::atomic<size_t> open_connections_ = 0;
   std::thread traffic_thread_;
   std::thread control_thread_;
 };
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -6,6 +6,7 @@
 #include "gateway/forwarder_options.h"
 #include "gateway/settings.h"
 #include "gateway/shared_retry_budget.h"
+#include "gateway/stop_schedule.h"
 #include "tests/test_macros.h"
 
 namespace daisypond::gateway {
@@ -64,6 +65,7 @@
   CPPUNIT_TEST_SUITE(GatewayTest);
   CPPUNIT_TEST(TestParseSettings);
   CPPUNIT_TEST(TestSettingsErrorNamesFileLineAndKey);
+  CPPUNIT_TEST(TestStopEndsRequestsBeforeItClosesConnections);
   CPPUNIT_TEST(TestSlackOfAllInstancesStaysWithinTotal);
   CPPUNIT_TEST(TestSlackOfASplitGroupStaysWithinTotal);
   CPPUNIT_TEST(TestOlderConfigurationIsIgnored);
@@ -105,6 +107,21 @@
     EXPECT(error("instance: a-1\n", "").find("instance") != std::string::npos);
   }
 
+  void TestStopEndsRequestsBeforeItClosesConnections() {
+    const base::Millis began_at{1000};
+    for (const int64_t grace_ms : {4000, 8000, 30'000}) {
+      const base::Millis grace{grace_ms};
+      const StopSchedule schedule(began_at, grace);
+      EXPECT(schedule.PhaseAt(began_at) == StopPhase::kLeavingRotation);
+      EXPECT(schedule.PhaseAt(schedule.OutOfRotationAt()) ==
+             StopPhase::kDraining);
+      EXPECT(schedule.PhaseAt(schedule.EndRequestsAt()) == StopPhase::kEnding);
+      EXPECT(schedule.PhaseAt(schedule.CloseAt()) == StopPhase::kClosing);
+      EXPECT(schedule.CloseAt() < began_at + grace);
+      EXPECT(!schedule.MayEndEarly(schedule.OutOfRotationAt()));
+    }
+  }
+
   void TestSlackOfAllInstancesStaysWithinTotal() {
     Settings settings = *ParseSettings("f", kSettings);
     for (const size_t n : {1, 8, 83, 300}) {
