Cancel calls to peers when a process ends

Cause: the end of the peer client waits for its calls, each up to its time limit (a fetch of the catalog 1 s) if the peer does not answer, for instance because it stops at the same time. Evidence: the log ends with no 'stopped' after the drain; TestEndDoesNotWaitForAPeerThatDoesNotAnswer failed before. Now the destructor cancels the calls and then waits.

--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -35,6 +35,30 @@
   return fmt::format("127.0.0.1:{}", ntohs(address.sin_port));
 }
 
+/// Lets connections be opened and reads nothing from them.
+class SilentListener {
+ public:
+  SilentListener() : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof(address);
+    bind(fd_, reinterpret_cast<sockaddr*>(&address), n);
+    listen(fd_, 1);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &n);
+    address_ = fmt::format("127.0.0.1:{}", ntohs(address.sin_port));
+  }
+  ~SilentListener() { close(fd_); }
+  SilentListener(const SilentListener&) = delete;
+  SilentListener& operator=(const SilentListener&) = delete;
+
+  const std::string& Address() const { return address_; }
+
+ private:
+  int fd_;
+  std::string address_;
+};
+
 /// The peer link of an instance that serves no callers.
 class Member {
  public:
@@ -149,6 +173,7 @@
 
 SUITE(PeerLinkTest) {
   CPPUNIT_TEST_SUITE(PeerLinkTest);
+  CPPUNIT_TEST(TestEndDoesNotWaitForAPeerThatDoesNotAnswer);
   CPPUNIT_TEST(TestRestartedInstanceLearnsOfCrashingRequests);
   CPPUNIT_TEST(TestAllMembersAreToldOfSuspects);
   CPPUNIT_TEST(TestStreamRecordOutlivesTheInstanceThatServedIt);
@@ -158,6 +183,22 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void TestEndDoesNotWaitForAPeerThatDoesNotAnswer() {
+    base::Metrics metrics;
+    const SilentListener peer;
+    const base::Millis timeout{5000};
+    std::atomic<bool> is_answered = true;
+    auto client =
+        std::make_unique<peer::PeerClient>(peer::PeerClientOptions(), &metrics);
+    client->FetchCatalog(peer.Address(), {}, timeout, [&](const auto& reply) {
+      is_answered = reply.has_value();
+    });
+    const base::Millis began_at = base::Clock::Now();
+    client.reset();
+    EXPECT(base::Clock::Now() - began_at < timeout / 5);
+    EXPECT(!is_answered);
+  }
+
   void TestRestartedInstanceLearnsOfCrashingRequests() {
     constexpr base::Millis kTimeout{3000};
     const std::string address = FreeAddress();
--- a/src/peer/peer_client.cc
+++ b/src/peer/peer_client.cc
@@ -64,7 +64,10 @@
 
 PeerClient::~PeerClient() {
   std::unique_lock lock(calls_mutex_);
-  call_ended_.wait(lock, [this] { return active_calls_ == 0; });
+  for (const auto& it : active_calls_) {
+    it.second->TryCancel();
+  }
+  call_ended_.wait(lock, [this] { return active_calls_.empty(); });
 }
 
 std::shared_ptr<PeerClient::Link> PeerClient::GetOrCreateLink(
@@ -109,23 +112,30 @@
   auto call = std::make_shared<Call<Reply>>();
   call->context.set_deadline(DeadlineAfter(timeout));
   CountMessage(request.ByteSizeLong());
-  {
-    const std::lock_guard lock(calls_mutex_);
-    ++active_calls_;
-  }
-  auto on_done = [this, link, call,
+  const uint64_t id = AddActiveCall(&call->context);
+  auto on_done = [this, id, link, call,
                   done = std::move(done)](const grpc::Status& status) {
     CountMessage(call->reply.ByteSizeLong());
     done(status.ok() ? std::optional<Reply>(std::move(call->reply))
                      : std::nullopt);
-    const std::lock_guard lock(calls_mutex_);
-    --active_calls_;
-    call_ended_.notify_all();
+    RemoveActiveCall(id);
   };
   method(link->stub->async(), &call->context, request, &call->reply,
          std::move(on_done));
 }
 
+uint64_t PeerClient::AddActiveCall(grpc::ClientContext* context) {
+  const std::lock_guard lock(calls_mutex_);
+  active_calls_[++last_call_id_] = context;
+  return last_call_id_;
+}
+
+void PeerClient::RemoveActiveCall(uint64_t id) {
+  const std::lock_guard lock(calls_mutex_);
+  active_calls_.erase(id);
+  call_ended_.notify_all();
+}
+
 void PeerClient::AppendCopy(const std::string& address,
                             const generation::AppendTokens& append,
                             CopyCallback done) {
--- a/src/peer/peer_client.h
+++ b/src/peer/peer_client.h
@@ -149,6 +149,9 @@
                  base::Millis timeout,
                  Method method,
                  std::function<void(std::optional<Reply>)> done);
+  /// Registers a call so that the destructor can cancel it. Returns its id.
+  uint64_t AddActiveCall(grpc::ClientContext* context);
+  void RemoveActiveCall(uint64_t id);
   /// Adds a sent or received message of `bytes` bytes to the metrics.
   void CountMessage(size_t bytes);
 
@@ -156,10 +159,12 @@
   base::Metrics* metrics_;
   std::mutex mutex_;
   std::map<std::string, std::shared_ptr<Link>> links_;
-  // Guards `active_calls_`. The destructor waits until no call is active.
+  // Guards `active_calls_` and `last_call_id_`. The destructor cancels the
+  // active calls and waits until none is left.
   std::mutex calls_mutex_;
   std::condition_variable call_ended_;
-  int active_calls_ = 0;
+  std::map<uint64_t, grpc::ClientContext*> active_calls_;
+  uint64_t last_call_id_ = 0;
 };
 
 }  // namespace daisypond::peer
