Block signals before the settings are read

Seen in the soak of stops: SIGHUP within 10 ms of the start ended the process. Cause: signals were blocked only once the settings had been read and, with the native interface, SIGHUP never was, so that it ended an instance without a drain. Now main() blocks them first; the native interface ignores SIGHUP. Run: unit tests of forward; no test of its own.

--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -11,6 +11,7 @@
 #include <CLI/CLI.hpp>
 
 #include "base/log.h"
+#include "base/signals.h"
 #include "base/version.h"
 #include "entry/control_plane.h"
 #include "entry/instance.h"
@@ -37,9 +38,13 @@
 constexpr Millis kHandoverGrace{3000};
 
 /// Blocks until the process receives SIGTERM or SIGINT.
-void WaitForStopSignal(const sigset_t& signals) {
-  int signal = 0;
-  sigwait(&signals, &signal);
+/// Blocks until SIGTERM or SIGINT.
+void WaitForStopSignal() {
+  const sigset_t signals = daisypond::base::HandledSignals();
+  int signal = SIGHUP;
+  while (signal == SIGHUP) {
+    sigwait(&signals, &signal);
+  }
 }
 
 /// Waits until all open requests have ended. After the drain deadline, streams
@@ -60,11 +65,6 @@
 }
 
 int Serve(const daisypond::entry::Settings& settings) {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 
   daisypond::entry::Instance instance(settings);
@@ -97,7 +97,7 @@
     }
     Log(LogLevel::kInfo, "serving",
         {{"instance", settings.instance}, {"listen", settings.listen}});
-    WaitForStopSignal(signals);
+    WaitForStopSignal();
     Log(LogLevel::kInfo, "stopping", {{"open", server.OpenRequests()}});
     instance.is_stopping = true;
     instance.admission_gate.Stop();
@@ -131,6 +131,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  daisypond::base::BlockHandledSignals();
   CLI::App app("daisypond-entry: an entry instance of daisypond");
   std::string config;
   auto* source = app.add_option_group("settings");
--- a/src/gateway/serve.cc
+++ b/src/gateway/serve.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include "base/log.h"
+#include "base/signals.h"
 #include "base/version.h"
 #include "gateway/gateway.h"
 #include "platform/catalog_format.h"
@@ -31,7 +32,8 @@
 }
 
 /// Blocks until SIGTERM or SIGINT. Reloads the settings on SIGHUP.
-void WaitForStop(const sigset_t& signals, const std::string& file) {
+void WaitForStop(const std::string& file) {
+  const sigset_t signals = base::HandledSignals();
   while (true) {
     int signal = 0;
     sigwait(&signals, &signal);
@@ -45,12 +47,6 @@
 }  // namespace
 
 int Serve(const std::string& file, const Settings& settings) {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGHUP);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 
   Gateway<platform::PlatformDialect, platform::CatalogFormat> gateway(settings);
@@ -67,7 +63,7 @@
        {"listen", settings.listen},
        {"store", settings.store},
        {"version", base::kVersion}});
-  WaitForStop(signals, file);
+  WaitForStop(file);
   Log(LogLevel::kInfo, "stopping", {});
   const size_t n_cut = gateway.Stop();
   Log(LogLevel::kInfo, "stopped", {{"cut", n_cut}});
--- a/src/gateway/serve.h
+++ b/src/gateway/serve.h
@@ -8,7 +8,8 @@
 namespace daisypond::gateway {
 
 /// Runs an instance that forwards requests until SIGTERM or SIGINT. Reads
-/// `file` again on SIGHUP. Returns the exit code of the process.
+/// `file` again on SIGHUP. Returns the exit code of the process. The signals
+/// must be blocked in all threads; see base::BlockHandledSignals().
 int Serve(const std::string& file, const Settings& settings);
 
 }  // namespace daisypond::gateway
