Refuse run-once calls that a stopping instance may have to give up

Callers saw: a call that may run only once was taken up to 0.75 s before the end of the stop and then ended without a result although it may have run. Now a stopping instance takes such a call only if its time limit, or 2 s, is left; others are refused at once as not run, and the caller can go elsewhere.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -171,9 +171,19 @@
     if (!forwarder_->is_stopping) {
       return false;
     }
-    const Millis needed =
-        route_->is_stream ? kExpectedStreamDuration : kExpectedCallDuration;
-    return Clock::Now() + needed > forwarder_->stop_at;
+    const Millis now = Clock::Now();
+    return now + ExpectedDuration(now) > forwarder_->stop_at;
+  }
+
+  /// Returns the time in which the request will probably be answered. A call
+  /// that may run only once cannot be repeated if it takes longer.
+  Millis ExpectedDuration(Millis now) const {
+    if (route_->is_stream) {
+      return kExpectedStreamDuration;
+    }
+    return route_->repeatability == catalog::Repeatability::kRunOnce
+               ? std::min(deadline_ - now, kLongRunOnceDuration)
+               : kExpectedCallDuration;
   }
 
   /// Returns the Retry-After value while this instance is stopping. A caller
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -92,6 +92,8 @@
 /// stopping instance uses them to decide whether it can finish a new request.
 inline constexpr base::Millis kExpectedStreamDuration{6000};
 inline constexpr base::Millis kExpectedCallDuration{500};
+/// The same for a call that may run only once: few take longer.
+inline constexpr base::Millis kLongRunOnceDuration{2000};
 /// Minimum Retry-After of a stopping instance. Short, because other instances
 /// accept the request at once.
 inline constexpr base::Millis kStoppingRetryAfter{50};
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -32,6 +32,7 @@
 using tests::LoopbackConnection;
 
 constexpr int kReadTimeoutMs = 3000;
+constexpr base::Millis kRouteTimeout{1000};
 constexpr base::Millis kStall{300};
 constexpr base::Millis kStopTime{300};
 // Time allowed for an answer after the instance has ended its open requests.
@@ -309,6 +310,7 @@
   CPPUNIT_TEST(TestUnframedStreamEndsWithItsConnection);
   CPPUNIT_TEST(TestRouteTimeoutIsEnforced);
   CPPUNIT_TEST(TestStoppingInstanceRefusesRequestItCannotFinish);
+  CPPUNIT_TEST(TestStoppingInstanceRefusesRunOnceCallItMayHaveToGiveUp);
   CPPUNIT_TEST(TestCallAtASlowTargetIsAnsweredBeforeTheInstanceStops);
   CPPUNIT_TEST(TestAnswerWithoutEndIsAnsweredBeforeTheInstanceStops);
   CPPUNIT_TEST(TestStreamWithoutEventIsAnsweredBeforeTheInstanceStops);
@@ -843,6 +845,14 @@
     EXPECT_EQ(0, n_sends_.load());
   }
 
+  void TestStoppingInstanceRefusesRunOnceCallItMayHaveToGiveUp() {
+    AddEchoTarget();
+    instance_->BeginStop(kRouteTimeout - base::Millis{200});
+    EXPECT_EQ(std::string("503"), RequestStatus("POST", "/once/a"));
+    EXPECT_EQ(size_t{0}, TotalRequests());
+    EXPECT_EQ(std::string("200"), RequestStatus("GET", "/safe/a"));
+  }
+
   void TestCallAtASlowTargetIsAnsweredBeforeTheInstanceStops() {
     AddTarget([](LoopbackConnection& connection, const std::string&) {
       return connection.ReadUntil("", kReadTimeoutMs).empty();
@@ -1348,7 +1358,7 @@
     route.prefix = prefix;
     route.repeatability = repeatability;
     route.is_stream = is_stream;
-    route.timeout = is_stream ? base::Millis{10'000} : base::Millis{1000};
+    route.timeout = is_stream ? base::Millis{10'000} : kRouteTimeout;
     route.latency_objective = {300};
     route.event_gap_objective = {700};
     route.maximum_targets = 5;
