End open requests before a stop closes connections, also after a stall

Cause: the end of requests depended on one phase being seen; what follows the last connection was part of the grace. Now requests are always ended at least one period before connections are closed, that wait ends with the stop, the process exits after its own threads without taking gRPC down, and the margins are a seventh and a twelfth of the grace (the former stays within the last sixth, in which ending a request is expected).

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -117,7 +117,8 @@
   net::asio::awaitable<void> WaitForCatalog() {
     net::asio::steady_timer timer(forwarder_->executor);
     const Millis deadline = request_.arrived_at + kMaximumCatalogWait;
-    while (!catalog_.IsComplete() && Clock::Now() < deadline) {
+    while (!catalog_.IsComplete() && !IsAbandoned() &&
+           Clock::Now() < deadline) {
       timer.expires_after(kCatalogPollPeriod.ToChrono());
       co_await timer.async_wait(net::kAsTuple);
       catalog_ = forwarder_->catalog;
--- a/src/forward/session.h
+++ b/src/forward/session.h
@@ -162,7 +162,7 @@
     state_ = SessionState::kClosing;
     socket.Raw().shutdown(net::Tcp::socket::shutdown_send, ec);
     socket.SetDeadline(base::Clock::Now() + kCloseTimeout);
-    while (!ec) {
+    while (!ec && !socket.HasTimedOut()) {
       connection_->Buffer().clear();
       const auto [read_ec, n] = co_await socket.Raw().async_read_some(
           connection_->Buffer().prepare(kReadBytes), net::kAsTuple);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -148,8 +148,8 @@
   }
 
   /// Serves until no connection is open or Settings::stop_grace has nearly
-  /// passed, then stops. Returns the number of connections that were closed
-  /// with a request open.
+  /// passed, then closes what is open. Returns the number of connections that
+  /// were closed with a request open.
   size_t Stop() {
     is_ready_ = false;
     const StopSchedule schedule(base::Clock::Now(), settings_.stop_grace);
@@ -169,20 +169,31 @@
     return n_cut;
   }
 
-  void StopThreads() {
-    control_.stop();
-    traffic_.stop();
-    control_thread_.join();
-    traffic_thread_.join();
+  ~Gateway() {
+    StopThreads();
     // Ends the calls to peers while the objects that their callbacks use still
     // exist.
     peer_link_.reset();
   }
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
 
  private:
   using Session = forward::Session<HeaderDialect>;
 
+  void StopThreads() {
+    if (!traffic_thread_.joinable()) {
+      return;
+    }
+    control_.stop();
+    traffic_.stop();
+    control_thread_.join();
+    traffic_thread_.join();
+  }
+
   static constexpr base::Millis kDrainPollPeriod{50};
+  // As many as can wait in the listening socket.
+  static constexpr size_t kMaximumWaitingConnections = 4096;
   static constexpr base::Millis kMaintenancePeriod{500};
   static constexpr base::Millis kDropMissingTargetsPeriod{200};
   // Losses come in groups; one message tells peers of several.
@@ -310,16 +321,18 @@
   size_t AcceptWaitingConnections() {
     net::ErrorCode ec;
     acceptor_.non_blocking(true, ec);
-    size_t n = 0;
-    while (!ec) {
+    size_t n_accepted = 0;
+    for (size_t i = 0;
+         i < kMaximumWaitingConnections && ec != asio::error::would_block;
+         ++i) {
       net::Tcp::socket socket(traffic_);
       acceptor_.accept(socket, ec);
       if (!ec) {
         StartSession(std::move(socket));
-        ++n;
+        ++n_accepted;
       }
     }
-    return n;
+    return n_accepted;
   }
 
   static void LogAcceptFailed(const net::ErrorCode& ec) {
@@ -328,6 +341,9 @@
   }
 
   void StartSession(net::Tcp::socket socket) {
+    if (is_closed_) {
+      return;
+    }
     const uint64_t id = ++last_session_id_;
     sessions_[id] = std::make_shared<Session>(&forwarder_, std::move(socket));
     asio::co_spawn(traffic_, RunSession(id), asio::detached);
@@ -497,30 +513,43 @@
   /// were closed with a request open.
   asio::awaitable<void> Drain(std::promise<size_t>* drained) {
     asio::steady_timer timer(traffic_);
-    StopPhase phase = StopPhase::kLeavingRotation;
+    bool are_requests_ended = false;
     bool is_drained = false;
-    while (phase != StopPhase::kClosing && !is_drained) {
+    while (!is_drained) {
       timer.expires_after(kDrainPollPeriod.ToChrono());
       co_await timer.async_wait(net::kAsTuple);
       const base::Millis now = base::Clock::Now();
-      phase = stop_schedule_.PhaseAt(now);
+      const StopPhase phase = stop_schedule_.PhaseAt(now);
+      // Answers to requests that have just been ended get one more period, also
+      // if the process has not run for a while.
+      is_drained = phase == StopPhase::kClosing && are_requests_ended;
       if (phase != StopPhase::kLeavingRotation) {
-        for (const auto& it : sessions_) {
-          it.second->CloseIfIdle();
-        }
+        CloseIdleSessions();
+      }
+      if (phase == StopPhase::kEnding || phase == StopPhase::kClosing) {
+        EndRequests();
+        are_requests_ended = true;
       }
-      if (phase == StopPhase::kEnding) {
-        CloseAcceptor();
-        for (const auto& it : sessions_) {
-          it.second->EndRequest();
-        }
+      if (sessions_.empty() && stop_schedule_.MayEndEarly(now)) {
+        is_drained = is_drained || CloseAcceptor() == 0;
       }
-      is_drained = sessions_.empty() && stop_schedule_.MayEndEarly(now) &&
-                   CloseAcceptor() == 0;
     }
     drained->set_value(CloseSessions());
   }
 
+  void CloseIdleSessions() {
+    for (const auto& it : sessions_) {
+      it.second->CloseIfIdle();
+    }
+  }
+
+  void EndRequests() {
+    CloseAcceptor();
+    for (const auto& it : sessions_) {
+      it.second->EndRequest();
+    }
+  }
+
   /// Takes no further connections, except those that callers have opened
   /// already. Returns their number.
   size_t CloseAcceptor() {
@@ -537,6 +566,7 @@
   /// open request.
   size_t CloseSessions() {
     CloseAcceptor();
+    is_closed_ = true;
     size_t n = 0;
     for (const auto& it : sessions_) {
       n += it.second->IsIdle() ? 0 : 1;
@@ -572,6 +602,8 @@
   std::map<uint64_t, std::shared_ptr<Session>> sessions_;
   uint64_t last_session_id_ = 0;
   StopSchedule stop_schedule_;
+  /// True when all connections of callers have been closed for good.
+  bool is_closed_ = false;
   std::atomic<bool> is_ready_ = false;
   std::thread traffic_thread_;
   std::thread control_thread_;
--- a/src/gateway/serve.cc
+++ b/src/gateway/serve.cc
@@ -1,6 +1,7 @@
 #include "gateway/serve.h"
 
 #include <csignal>
+#include <cstdlib>
 
 #include "base/log.h"
 #include "base/signals.h"
@@ -67,7 +68,9 @@
   Log(LogLevel::kInfo, "stopping", {});
   const size_t n_cut = gateway.Stop();
   Log(LogLevel::kInfo, "stopped", {{"cut", n_cut}});
-  return 0;
+  // Without the destructor of the gateway: it waits for threads of gRPC, which
+  // can take longer than what is left of the grace.
+  std::exit(EXIT_SUCCESS);
 }
 
 }  // namespace daisypond::gateway
--- a/src/gateway/stop_schedule.h
+++ b/src/gateway/stop_schedule.h
@@ -64,10 +64,10 @@
   // second apart, have failed.
   static constexpr base::Millis kRotationDelay{2500};
   static constexpr base::Millis kQuietPeriod{1000};
-  // The last eighth of the grace is for answers to what is ended, the last
-  // sixteenth for the end of the process.
-  static constexpr int64_t kEndingShare = 8;
-  static constexpr int64_t kClosingShare = 16;
+  // The last seventh of the grace is for answers to what is ended, the last
+  // twelfth for the end of the process.
+  static constexpr int64_t kEndingShare = 7;
+  static constexpr int64_t kClosingShare = 12;
 
   base::Millis began_at_;
   base::Millis grace_;
