--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -71,9 +71,11 @@
   kTargetsUnreadable,
   /// Configurations that could not be decoded.
   kConfigurationsUnreadable,
+  /// Connections to targets that were opened through a peer.
+  kTunnelsOpened,
 };
 
-inline constexpr NameTable<Counter, 31> kCounterNames(
+inline constexpr NameTable<Counter, 32> kCounterNames(
     "requests_total",
     "generations_total",
     "tokens_relayed_total",
@@ -104,7 +106,8 @@
     "probes_total",
     "copies_on_demand_total",
     "targets_unreadable_total",
-    "configurations_unreadable_total");
+    "configurations_unreadable_total",
+    "tunnels_opened_total");
 
 /// Latency histograms, in milliseconds.
 enum class Timer : uint8_t {
--- /dev/null
+++ b/src/forward/connect_target.cc
@@ -0,0 +1,158 @@
+#include "forward/connect_target.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "base/log.h"
+#include "forward/exchange_limits.h"
+#include "tunnel/client.h"
+
+namespace daisypond::forward {
+
+namespace {
+
+using base::Millis;
+
+constexpr int kMaximumTunnelPeers = 2;
+// Time allowed for opening a tunnel: the peer's connect to the target and a few
+// round trips.
+constexpr Millis kTunnelTimeout{500};
+// A connect that was given less time than this says nothing about the path.
+constexpr Millis kMinimumConnectTime{100};
+
+net::asio::awaitable<ConnectStatus> ConnectDirectly(
+    Forwarder* forwarder,
+    std::shared_ptr<TargetConnection> connection,
+    Millis deadline) {
+  const Millis began_at = base::Clock::Now();
+  PathMonitor& monitor = forwarder->path_monitor;
+  forwarder->metrics->Add(base::Counter::kConnectionsOpened);
+  monitor.OnConnectBegun(connection.get());
+  const net::ErrorCode ec = co_await connection->Socket().Connect(
+      connection->Address(), std::min(began_at + kConnectTimeout, deadline));
+  monitor.OnConnectEnded(connection.get());
+  if (!ec) {
+    monitor.OnConnected(connection->Target());
+    co_return ConnectStatus::kConnected;
+  }
+  const bool has_timed_out = connection->Socket().HasTimedOut();
+  if (ec == net::asio::error::operation_aborted && !has_timed_out) {
+    co_return ConnectStatus::kAborted;
+  }
+  if (!has_timed_out || base::Clock::Now() - began_at >= kMinimumConnectTime) {
+    monitor.OnConnectFailed(connection->Target());
+  }
+  co_return ConnectStatus::kUnreachable;
+}
+
+int64_t StartTimeOf(const Forwarder& forwarder, const std::string& target) {
+  const auto it = forwarder.catalog.targets->find(target);
+  return it == forwarder.catalog.targets->end() ? 0 : it->second.started_at;
+}
+
+net::asio::awaitable<tunnel::Status> OpenTunnel(
+    Forwarder* forwarder,
+    std::shared_ptr<TargetConnection> connection,
+    TunnelPeer peer,
+    Millis deadline) {
+  const Millis began_at = base::Clock::Now();
+  tunnel::ConnectRequest request{connection->Target(),
+                                 StartTimeOf(*forwarder, connection->Target()),
+                                 forwarder->options.instance};
+  connection->Socket().Close();
+  connection->tunnel_peer =
+      forwarder->tunnel_peer_selector.OnTunnelBegun(peer.instance);
+  const tunnel::Status status = co_await tunnel::Open(
+      &connection->Socket(), std::move(peer.address), std::move(request),
+      std::min(deadline, began_at + kTunnelTimeout));
+  const Millis now = base::Clock::Now();
+  switch (status) {
+    case tunnel::Status::kOpen:
+      forwarder->metrics->Add(base::Counter::kTunnelsOpened);
+      forwarder->path_monitor.OnReachedThroughPeer(connection->Target());
+      break;
+    case tunnel::Status::kPeerUnreachable:
+      forwarder->tunnel_peer_selector.OnUnreachable(peer.instance, now);
+      break;
+    case tunnel::Status::kRefused:
+    case tunnel::Status::kTargetUnreachable:
+      forwarder->tunnel_peer_selector.OnRefused(peer.instance, now);
+      break;
+  }
+  base::Log(base::LogLevel::kInfo, "tunnel",
+            {{"target", connection->Target()},
+             {"peer", peer.instance},
+             {"status", tunnel::kStatusNames.NameOf(status)},
+             {"took_ms", (now - began_at).count}});
+  if (status != tunnel::Status::kOpen) {
+    connection->tunnel_peer.reset();
+  }
+  co_return status;
+}
+
+/// Returns nothing if no peer could tell whether the target is reachable.
+net::asio::awaitable<std::optional<ConnectStatus>> ConnectThroughPeer(
+    Forwarder* forwarder,
+    std::shared_ptr<TargetConnection> connection,
+    Millis deadline) {
+  std::set<std::string> tried;
+  std::optional<ConnectStatus> result;
+  for (int i = 0; i < kMaximumTunnelPeers; ++i) {
+    const Millis now = base::Clock::Now();
+    const std::optional<TunnelPeer> peer =
+        forwarder->tunnel_peer_selector.Choose(
+            forwarder->tunnel_peers, forwarder->options.failure_domain, tried,
+            now);
+    if (!peer || now >= deadline) {
+      break;
+    }
+    tried.insert(peer->instance);
+    const tunnel::Status status =
+        co_await OpenTunnel(forwarder, connection, *peer, deadline);
+    if (status == tunnel::Status::kOpen) {
+      co_return ConnectStatus::kConnected;
+    }
+    if (status == tunnel::Status::kTargetUnreachable) {
+      result = ConnectStatus::kUnreachable;
+    }
+  }
+  co_return result;
+}
+
+}  // namespace
+
+net::asio::awaitable<ConnectOutcome> ConnectTarget(
+    Forwarder* forwarder,
+    std::shared_ptr<TargetConnection> connection,
+    Millis deadline) {
+  const TargetPath& path = forwarder->path_monitor.Path();
+  const std::string& target = connection->Target();
+  const bool has_peers = !forwarder->tunnel_peers.empty();
+  ConnectOutcome outcome;
+  const bool was_lost = path.StateOfTarget(target) == PathState::kLost;
+  if (!was_lost || !has_peers) {
+    outcome.status = co_await ConnectDirectly(forwarder, connection, deadline);
+    if (outcome.status == ConnectStatus::kConnected || !has_peers) {
+      co_return outcome;
+    }
+    const PathState state =
+        co_await forwarder->path_monitor.WaitForCheck(target, deadline);
+    if (state != PathState::kLost) {
+      co_return outcome;
+    }
+  }
+  const std::optional<ConnectStatus> status =
+      co_await ConnectThroughPeer(forwarder, connection, deadline);
+  if (status) {
+    outcome.status = *status;
+    outcome.route = ConnectionRoute::kTunnel;
+  } else if (was_lost) {
+    connection->Socket().Close();
+    outcome.status = co_await ConnectDirectly(forwarder, connection, deadline);
+  }
+  co_return outcome;
+}
+
+}  // namespace daisypond::forward
--- /dev/null
+++ b/src/forward/connect_target.h
@@ -0,0 +1,40 @@
+#ifndef DAISYPOND_FORWARD_CONNECT_TARGET_H_
+#define DAISYPOND_FORWARD_CONNECT_TARGET_H_
+
+#include <cstdint>
+#include <memory>
+
+#include "base/clock.h"
+#include "base/name_table.h"
+#include "forward/connection_route.h"
+#include "forward/forwarder.h"
+#include "forward/target_connection.h"
+
+namespace daisypond::forward {
+
+enum class ConnectStatus : uint8_t {
+  kConnected,
+  kUnreachable,
+  /// The socket was closed meanwhile.
+  kAborted,
+};
+
+inline constexpr base::NameTable<ConnectStatus, 3>
+    kConnectStatusNames("connected", "unreachable", "aborted");
+
+struct ConnectOutcome {
+  ConnectStatus status = ConnectStatus::kUnreachable;
+  /// The route of the last attempt.
+  ConnectionRoute route = ConnectionRoute::kDirect;
+};
+
+/// Connects `connection` to its target before `deadline`: directly, or through
+/// a peer if this instance has lost its path to the target.
+net::asio::awaitable<ConnectOutcome> ConnectTarget(
+    Forwarder* forwarder,
+    std::shared_ptr<TargetConnection> connection,
+    base::Millis deadline);
+
+}  // namespace daisypond::forward
+
+#endif  // DAISYPOND_FORWARD_CONNECT_TARGET_H_
--- a/src/forward/connection_pool.cc
+++ b/src/forward/connection_pool.cc
@@ -90,9 +90,16 @@
 }
 
 void ConnectionPool::CloseExpired(base::Millis now) {
+  CloseIdleIf([now](const TargetConnection& idle) {
+    return IsNearIdleTimeout(idle, now);
+  });
+}
+
+void ConnectionPool::CloseIdleIf(
+    const std::function<bool(const TargetConnection&)>& is_unusable) {
   for (auto& it : idle_) {
     std::erase_if(it.second, [&](const auto& idle) {
-      if (!IsNearIdleTimeout(*idle, now)) {
+      if (!is_unusable(*idle)) {
         return false;
       }
       idle->Socket().Close();
--- a/src/forward/connection_pool.h
+++ b/src/forward/connection_pool.h
@@ -2,6 +2,7 @@
 #define DAISYPOND_FORWARD_CONNECTION_POOL_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -48,6 +49,10 @@
   /// Closes connections that are about to reach their idle timeout.
   void CloseExpired(base::Millis now);
 
+  /// Closes the connections for which `is_unusable` returns true.
+  void CloseIdleIf(
+      const std::function<bool(const TargetConnection&)>& is_unusable);
+
   /// Closes connections to targets that are not in `targets`.
   void CloseRemovedTargets(const catalog::Targets& targets);
 
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -11,6 +11,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "forward/caller_connection.h"
+#include "forward/connect_target.h"
 #include "forward/dialect.h"
 #include "forward/engine_poll.h"
 #include "forward/event_splitter.h"
@@ -572,10 +573,9 @@
     is_answer_recorded_ = false;
     has_answer_header_ = false;
     StartCopyFor(placement);
-    LogSend(placement, reason);
     forwarder_->metrics->Add(base::Counter::kSends);
     forwarder_->selector.OnSend(placement.id);
-    SendResult result = co_await SendAndReadAnswer(placement);
+    SendResult result = co_await SendAndReadAnswer(placement, reason);
     forwarder_->selector.OnSendEnded(placement.id);
     UpdateCopyOfRun(result.outcome, first_event);
     active_connection_.reset();
@@ -602,6 +602,9 @@
       }
       return;
     }
+    if (IsExplainedByPath(result)) {
+      return;
+    }
     excluded_targets_.insert(placement.id);
     if (result.reason == base::Reason::kErrorAnswer) {
       return;
@@ -629,14 +632,28 @@
     } else {
       forwarder_->selector.OnFailure(placement.id, now);
     }
-    forwarder_->OnTargetLost({{placement.id, placement.started_at},
-                              service_name_,
-                              placement.failure_domain},
-                             SuspectedContent(result, now),
-                             LossSource::kThisInstance);
+    forwarder_->path_monitor.OnLossFound(
+        {{placement.id, placement.started_at},
+         service_name_,
+         placement.failure_domain},
+        SuspectedContent(result, now),
+        result.reason == base::Reason::kTargetUnreachable
+            ? LossKind::kConnectFailed
+            : LossKind::kRequestFailed,
+        send_route_);
     last_lost_domain_ = placement.failure_domain;
   }
 
+  /// True when the send failed because the path to the target was lost; another
+  /// send to it goes through a peer.
+  bool IsExplainedByPath(const SendResult& result) const {
+    return send_route_ == ConnectionRoute::kDirect &&
+           result.outcome == SendOutcome::kUnknown &&
+           result.reason != base::Reason::kErrorAnswer &&
+           !forwarder_->tunnel_peers.empty() &&
+           forwarder_->path_monitor.Path().IsLossExplained(service_name_);
+  }
+
   /// Returns what of the request may have crashed the target: nothing if the
   /// target had run the request for some time.
   RequestContent SuspectedContent(const SendResult& result, Millis now) const {
@@ -701,10 +718,11 @@
     copy_manager_.reset();
   }
 
-  net::asio::awaitable<SendResult> SendAndReadAnswer(
-      const Placement& placement) {
+  net::asio::awaitable<SendResult> SendAndReadAnswer(const Placement& placement,
+                                                     base::Reason reason) {
     const std::shared_ptr<TargetConnection> connection =
         co_await OpenConnection(placement);
+    LogSend(placement, reason, connection.get());
     if (connection == nullptr) {
       co_return SendResult{SendOutcome::kNotSent,
                            base::Reason::kTargetUnreachable, std::nullopt};
@@ -718,7 +736,12 @@
     CheckSendAllowed();
     send_tracker_->OnSend(placement.id);
     connection->StartWrite(SerializeRequest(placement));
+    forwarder_->path_monitor.OnSendBegun(
+        connection, route_->repeatability == catalog::Repeatability::kRunOnce
+                        ? SendInterruption::kForbidden
+                        : SendInterruption::kAllowed);
     SendResult result = co_await ReadAnswer(placement, connection);
+    forwarder_->path_monitor.OnSendEnded(connection);
     if (!result.finished && connection->Socket().Raw().is_open() &&
         result.outcome == SendOutcome::kUnknown) {
       if (connection->HasWrittenNothing() && connection->IsWriteDone()) {
@@ -745,15 +768,16 @@
             placement.id,
             may_repeat ? kMaximumIdleTime : kMaximumIdleTimeForRunOnce, now);
     if (connection != nullptr) {
+      send_route_ = connection->Route();
       co_return connection;
     }
     connection = forwarder_->connection_pool.CreateConnection(
         placement.id, placement.address);
     active_connection_ = connection;
-    forwarder_->metrics->Add(base::Counter::kConnectionsOpened);
-    const net::ErrorCode ec = co_await connection->Socket().Connect(
-        placement.address, std::min(now + kConnectTimeout, deadline_));
-    if (ec) {
+    const ConnectOutcome outcome =
+        co_await ConnectTarget(forwarder_, connection, deadline_);
+    send_route_ = outcome.route;
+    if (outcome.status != ConnectStatus::kConnected) {
       co_return nullptr;
     }
     connection->Socket().SetTcpOptions(
@@ -951,7 +975,7 @@
                     bool is_body_complete) {
     if (is_body_complete && reader.HasDelimitedBody() && reader.IsKeptAlive() &&
         connection->IsWriteDone() && connection->Buffer().size() == 0) {
-      forwarder_->connection_pool.ReturnIdle(connection, Clock::Now());
+      forwarder_->path_monitor.ReturnIdle(connection);
     } else {
       connection->Socket().Close();
     }
@@ -1230,7 +1254,9 @@
 
   // ---- Log lines.
 
-  void LogSend(const Placement& placement, base::Reason reason) const {
+  void LogSend(const Placement& placement,
+               base::Reason reason,
+               const TargetConnection* connection) const {
     base::Log(
         base::LogLevel::kInfo, "send",
         {{"request", request_info_.id},
@@ -1238,6 +1264,7 @@
          {"cause", base::kReasonNames.NameOf(
                        n_send_attempts_ == 1 ? base::Reason::kNone : reason)},
          {"target", placement.id},
+         {"via", connection == nullptr ? "none" : connection->Via()},
          {"domain", placement.failure_domain},
          {"software", placement.version},
          {"score", placement.score},
@@ -1370,6 +1397,7 @@
   bool is_caller_gone_ = false;
   /// The connection of the send in progress.
   std::shared_ptr<TargetConnection> active_connection_;
+  ConnectionRoute send_route_ = ConnectionRoute::kDirect;
   /// The last error answer of a target. It is relayed if no other target
   /// answers without an error.
   std::string fallback_answer_;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -25,7 +25,9 @@
       metrics(process_metrics),
       selector(base::RandomNumber()),
       connection_pool(traffic_executor),
-      retry_limit(options.retries) {}
+      retry_limit(options.retries),
+      path_monitor(this),
+      tunnel_peer_selector(base::RandomNumber()) {}
 
 void Forwarder::Apply(const catalog::Catalog& next) {
   if (next.configuration != nullptr &&
@@ -40,6 +42,7 @@
   if (next.targets != nullptr && next.targets != catalog.targets) {
     catalog.targets = next.targets;
     selector.Configure(*next.targets);
+    path_monitor.Configure(*next.targets);
     connection_pool.CloseRemovedTargets(*next.targets);
   }
 }
@@ -47,8 +50,15 @@
 void Forwarder::OnTargetLost(const TargetLoss& target,
                              const RequestContent& content,
                              LossSource source) {
+  OnTargetLost(target, content, source, base::Clock::Now());
+}
+
+void Forwarder::OnTargetLost(const TargetLoss& target,
+                             const RequestContent& content,
+                             LossSource source,
+                             base::Millis lost_at) {
   const base::Millis now = base::Clock::Now();
-  crashing_requests.OnTargetLost(content, target, now);
+  crashing_requests.OnTargetLost(content, target, lost_at);
   const LossCount count =
       crashing_requests.CountLosses({SuspectKind::kRequest, content.hash});
   base::Log(base::LogLevel::kInfo, "target_lost",
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -13,12 +13,15 @@
 #include "forward/connection_pool.h"
 #include "forward/crashing_request_tracker.h"
 #include "forward/message.h"
+#include "forward/path_monitor.h"
 #include "forward/request_content.h"
 #include "forward/request_permit_pool.h"
 #include "forward/retry_limit.h"
 #include "forward/stream_record.h"
 #include "forward/target_loss.h"
 #include "forward/target_selector.h"
+#include "forward/tunnel_peer.h"
+#include "forward/tunnel_peer_selector.h"
 
 namespace daisypond::forward {
 
@@ -69,6 +72,10 @@
   void OnTargetLost(const TargetLoss& target,
                     const RequestContent& content,
                     LossSource source);
+  void OnTargetLost(const TargetLoss& target,
+                    const RequestContent& content,
+                    LossSource source,
+                    base::Millis lost_at);
 
   /// Records that a target began to answer a request at `began_at` and went on.
   void OnRequestAnswered(const RequestContent& content, base::Millis began_at);
@@ -92,6 +99,8 @@
   ConnectionPool connection_pool;
   RetryLimit retry_limit;
   CrashingRequestTracker crashing_requests;
+  PathMonitor path_monitor;
+  TunnelPeerSelector tunnel_peer_selector;
   /// Called when this instance has found a target lost. `content_hash` is the
   /// hash of a request that may have crashed the target, or zero if there is
   /// none.
--- /dev/null
+++ b/src/forward/path_monitor.cc
@@ -0,0 +1,344 @@
+#include "forward/path_monitor.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "base/log.h"
+#include "forward/forwarder.h"
+
+namespace daisypond::forward {
+
+namespace {
+
+using base::Millis;
+
+constexpr Millis kCheckPollPeriod{20};
+constexpr Millis kLostPollPeriod{100};
+constexpr Millis kSilencePollPeriod{200};
+// When requests are open and nothing arrives for this long, the path is
+// checked. Doubled each time that the path turns out to be sound.
+constexpr Millis kSilenceTimeout{600};
+constexpr Millis kMaximumSilenceTimeout{2400};
+// Bytes that arrive within this time of the first failure may have been sent
+// before the path was lost.
+constexpr Millis kFlightTime{50};
+
+}  // namespace
+
+PathMonitor::PathMonitor(Forwarder* forwarder)
+    : forwarder_(forwarder),
+      silence_timeout_(kSilenceTimeout),
+      timer_(forwarder->executor) {}
+
+void PathMonitor::OnConnectBegun(TargetConnection* connection) {
+  open_connects_.insert(connection);
+}
+
+void PathMonitor::OnConnectEnded(TargetConnection* connection) {
+  open_connects_.erase(connection);
+}
+
+void PathMonitor::OnConnected(const std::string& target) {
+  const Millis now = base::Clock::Now();
+  last_heard_at_ = now;
+  path_.OnConnected(target, now);
+  Update();
+}
+
+void PathMonitor::OnConnectFailed(const std::string& target) {
+  const bool is_first = path_.StateOfTarget(target) == PathState::kDirect;
+  path_.OnConnectFailed(target, base::Clock::Now());
+  if (is_first) {
+    base::Log(
+        base::LogLevel::kInfo, "path_check",
+        {{"why", kPathSuspicionNames.NameOf(PathSuspicion::kConnectFailed)},
+         {"target", target}});
+  }
+  Update();
+  Wake();
+}
+
+void PathMonitor::Suspect(const std::string& target, PathSuspicion reason) {
+  const bool is_first = path_.StateOfTarget(target) == PathState::kDirect;
+  path_.OnSuspicion(target, reason, base::Clock::Now());
+  if (is_first) {
+    base::Log(
+        base::LogLevel::kInfo, "path_check",
+        {{"why", kPathSuspicionNames.NameOf(reason)}, {"target", target}});
+  }
+}
+
+void PathMonitor::OnReachedThroughPeer(const std::string& target) {
+  path_.OnReachedThroughPeer(path_.ServiceOf(target));
+}
+
+void PathMonitor::OnSendBegun(
+    const std::shared_ptr<TargetConnection>& connection,
+    SendInterruption interruption) {
+  open_sends_[connection] = {interruption, base::Clock::Now()};
+  if (!is_running_) {
+    Wake();
+  }
+}
+
+void PathMonitor::OnSendEnded(
+    const std::shared_ptr<TargetConnection>& connection) {
+  open_sends_.erase(connection);
+  if (connection->Route() == ConnectionRoute::kDirect) {
+    last_heard_at_ = std::max(last_heard_at_, connection->last_heard_at);
+    held_losses_.OnBytesReceived(connection->Target(),
+                                 connection->last_heard_at);
+  }
+}
+
+void PathMonitor::OnLossFound(const TargetLoss& target,
+                              const RequestContent& content,
+                              LossKind kind,
+                              ConnectionRoute route) {
+  if (route == ConnectionRoute::kTunnel) {
+    forwarder_->OnTargetLost(target, content, LossSource::kThisInstance);
+    return;
+  }
+  if (kind == LossKind::kRequestFailed) {
+    Suspect(target.process.id, PathSuspicion::kConnectionBroken);
+  }
+  held_losses_.Add({target, content, kind, base::Clock::Now()});
+  Update();
+  Wake();
+}
+
+void PathMonitor::ReturnIdle(
+    const std::shared_ptr<TargetConnection>& connection) {
+  const bool is_path_lost =
+      path_.StateOfTarget(connection->Target()) == PathState::kLost;
+  if (connection->Route() == ConnectionRoute::kTunnel && !is_path_lost) {
+    connection->Socket().Close();
+    return;
+  }
+  forwarder_->connection_pool.ReturnIdle(connection, base::Clock::Now());
+}
+
+net::asio::awaitable<PathState> PathMonitor::WaitForCheck(
+    std::string target,
+    base::Millis deadline) {
+  net::asio::steady_timer timer(forwarder_->executor);
+  timer.expires_at(std::chrono::steady_clock::time_point(deadline.ToChrono()));
+  while (path_.StateOfTarget(target) == PathState::kChecking &&
+         base::Clock::Now() < deadline) {
+    waiting_for_check_.insert(&timer);
+    co_await timer.async_wait(net::kAsTuple);
+    waiting_for_check_.erase(&timer);
+  }
+  co_return path_.StateOfTarget(target);
+}
+
+void PathMonitor::Update() {
+  path_.Update(base::Clock::Now());
+  ApplyState("", path_.State());
+  for (const std::string& it : path_.LostServices()) {
+    ApplyState(it, PathState::kLost);
+  }
+  std::vector<std::string> restored;
+  for (const auto& it : lost_paths_) {
+    if (!it.first.empty() && path_.StateOf(it.first) == PathState::kDirect) {
+      restored.push_back(it.first);
+    }
+  }
+  for (const std::string& it : restored) {
+    ApplyState(it, PathState::kDirect);
+  }
+  SettleLosses();
+  for (net::asio::steady_timer* it : waiting_for_check_) {
+    it->cancel();
+  }
+}
+
+void PathMonitor::ApplyState(const std::string& service, PathState state) {
+  const auto lost = lost_paths_.find(service);
+  if (state == PathState::kLost && lost == lost_paths_.end()) {
+    lost_paths_[service] = {base::Clock::Now(), 0};
+    OnPathLost(service);
+  } else if (state == PathState::kDirect && lost != lost_paths_.end()) {
+    const LostPath path = lost->second;
+    lost_paths_.erase(lost);
+    OnPathRestored(service, path);
+  }
+}
+
+void PathMonitor::OnPathLost(const std::string& service) {
+  const Millis since = path_.SuspectedSince(service);
+  base::Log(base::LogLevel::kInfo, "path_lost",
+            {{"service", service.empty() ? "all" : service},
+             {"suspected_ms", (base::Clock::Now() - since).count},
+             {"open_sends", open_sends_.size()},
+             {"held_losses", held_losses_.Size()},
+             {"peers", forwarder_->tunnel_peers.size()}});
+  forwarder_->selector.ForgetFailuresSince(service, since - kFlightTime);
+  CloseDirectConnections(service, since);
+  if (service.empty() && forwarder_->on_path_changed) {
+    forwarder_->on_path_changed(true);
+  }
+}
+
+void PathMonitor::OnPathRestored(const std::string& service,
+                                 const LostPath& lost) {
+  base::Log(base::LogLevel::kInfo, "path_restored",
+            {{"service", service.empty() ? "all" : service},
+             {"lost_ms", (base::Clock::Now() - lost.lost_at).count},
+             {"explained_losses", lost.n_explained_losses}});
+  forwarder_->connection_pool.CloseIdleIf([&](const TargetConnection& it) {
+    return it.Route() == ConnectionRoute::kTunnel && IsInScope(it, service);
+  });
+  if (service.empty() && forwarder_->on_path_changed) {
+    forwarder_->on_path_changed(false);
+  }
+}
+
+void PathMonitor::CloseDirectConnections(const std::string& service,
+                                         Millis since) {
+  forwarder_->connection_pool.CloseIdleIf([&](const TargetConnection& it) {
+    return it.Route() == ConnectionRoute::kDirect && it.idle_since < since &&
+           IsInScope(it, service);
+  });
+  for (TargetConnection* it : open_connects_) {
+    if (IsInScope(*it, service)) {
+      net::ErrorCode ignored;
+      it->Socket().Raw().cancel(ignored);
+    }
+  }
+  std::vector<std::shared_ptr<TargetConnection>> interrupted;
+  for (const auto& it : open_sends_) {
+    const TargetConnection& connection = *it.first;
+    if (connection.Route() != ConnectionRoute::kDirect ||
+        !IsInScope(connection, service)) {
+      continue;
+    }
+    if (connection.last_heard_at >= since + kFlightTime) {
+      return;
+    }
+    if (it.second.interruption == SendInterruption::kAllowed) {
+      interrupted.push_back(it.first);
+    }
+  }
+  for (const auto& it : interrupted) {
+    it->Socket().Close();
+  }
+}
+
+bool PathMonitor::IsInScope(const TargetConnection& connection,
+                            const std::string& service) const {
+  return service.empty() || path_.ServiceOf(connection.Target()) == service;
+}
+
+void PathMonitor::SettleLosses() {
+  for (const auto& it : open_sends_) {
+    if (it.first->Route() == ConnectionRoute::kDirect) {
+      held_losses_.OnBytesReceived(it.first->Target(), it.first->last_heard_at);
+    }
+  }
+  const SettledLosses settled =
+      held_losses_.TakeSettled(path_, base::Clock::Now());
+  for (const HeldLoss& it : settled.confirmed) {
+    forwarder_->OnTargetLost(it.target, it.content, LossSource::kThisInstance,
+                             it.found_at);
+  }
+  for (const HeldLoss& it : settled.explained) {
+    const std::string& service = it.target.service;
+    const auto lost =
+        lost_paths_.find(path_.State() == PathState::kLost ? "" : service);
+    if (lost != lost_paths_.end()) {
+      ++lost->second.n_explained_losses;
+    }
+    base::Log(base::LogLevel::kInfo, "loss_explained",
+              {{"target", it.target.process.id},
+               {"service", service},
+               {"kind", kLossKindNames.NameOf(it.kind)},
+               {"content", it.content.hash},
+               {"held_ms", (base::Clock::Now() - it.found_at).count}});
+  }
+}
+
+void PathMonitor::CheckSilence() {
+  Millis oldest{INT64_MAX};
+  for (const auto& it : open_sends_) {
+    if (it.first->Route() == ConnectionRoute::kDirect) {
+      oldest = std::min(oldest, it.second.began_at);
+      last_heard_at_ = std::max(last_heard_at_, it.first->last_heard_at);
+    }
+  }
+  if (oldest.count == INT64_MAX || path_.State() != PathState::kDirect) {
+    return;
+  }
+  const Millis now = base::Clock::Now();
+  const Millis silent_since = std::max(oldest, last_heard_at_);
+  if (silent_since > silent_at_ + silence_timeout_) {
+    silence_timeout_ = kSilenceTimeout;
+  }
+  if (now - silent_since < silence_timeout_) {
+    return;
+  }
+  silent_at_ = now;
+  silence_timeout_ = std::min(silence_timeout_ * 2, kMaximumSilenceTimeout);
+  Suspect("", PathSuspicion::kAllSilent);
+}
+
+bool PathMonitor::HasWork() const {
+  return path_.NeedsProbes() || !held_losses_.IsEmpty() || !open_sends_.empty();
+}
+
+Millis PathMonitor::Period() const {
+  if (!held_losses_.IsEmpty() || path_.State() == PathState::kChecking) {
+    return kCheckPollPeriod;
+  }
+  return path_.NeedsProbes() ? kLostPollPeriod : kSilencePollPeriod;
+}
+
+void PathMonitor::Wake() {
+  if (std::exchange(is_running_, true)) {
+    timer_.cancel();
+    return;
+  }
+  net::asio::co_spawn(forwarder_->executor, Run(), net::asio::detached);
+}
+
+net::asio::awaitable<void> PathMonitor::Run() {
+  while (HasWork()) {
+    CheckSilence();
+    for (std::string& it : path_.TakeProbes(base::Clock::Now())) {
+      net::asio::co_spawn(forwarder_->executor, Probe(std::move(it)),
+                          net::asio::detached);
+    }
+    Update();
+    timer_.expires_after(Period().ToChrono());
+    co_await timer_.async_wait(net::kAsTuple);
+  }
+  is_running_ = false;
+}
+
+net::asio::awaitable<void> PathMonitor::Probe(std::string target) {
+  const auto found = forwarder_->catalog.targets->find(target);
+  if (found == forwarder_->catalog.targets->end()) {
+    co_return;
+  }
+  const std::shared_ptr<TargetConnection> connection =
+      forwarder_->connection_pool.CreateConnection(target,
+                                                   found->second.address);
+  forwarder_->metrics->Add(base::Counter::kProbes);
+  const Millis deadline = base::Clock::Now() + TargetPath::kProbeTimeout;
+  const net::ErrorCode ec =
+      co_await connection->Socket().Connect(connection->Address(), deadline);
+  if (ec) {
+    OnConnectFailed(target);
+    co_return;
+  }
+  OnConnected(target);
+  connection->Socket().SetTcpOptions(
+      net::DeadPeerDetection::kUnacknowledgedDataOnly);
+  ReturnIdle(connection);
+}
+
+}  // namespace daisypond::forward
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -38,6 +38,9 @@
     const auto [ec, n] = co_await bhttp::async_read_header(
         socket.Raw(), connection_->Buffer(), *parser_, net::kAsTuple);
     socket.ClearDeadline();
+    if (n > 0) {
+      connection_->last_heard_at = base::Clock::Now();
+    }
     if (ec) {
       co_return socket.HasTimedOut() ? ReadStatus::kTimedOut
                                      : ReadStatus::kBroken;
@@ -72,6 +75,9 @@
   auto [ec, n] = co_await bhttp::async_read_some(
       socket.Raw(), connection_->Buffer(), *parser_, net::kAsTuple);
   socket.ClearDeadline();
+  if (n > 0) {
+    connection_->last_heard_at = base::Clock::Now();
+  }
   into->append(buf.data(), buf.size() - body.size);
   if (ec == bhttp::error::need_buffer) {
     ec = {};
--- a/src/forward/target_call.cc
+++ b/src/forward/target_call.cc
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "forward/connect_target.h"
 #include "forward/response_reader.h"
 
 namespace daisypond::forward {
@@ -44,7 +45,7 @@
   answer.fields = reader.Fields();
   if (reader.HasDelimitedBody() && reader.IsKeptAlive() &&
       connection->Buffer().size() == 0) {
-    forwarder->connection_pool.ReturnIdle(connection, base::Clock::Now());
+    forwarder->path_monitor.ReturnIdle(connection);
   } else {
     connection->Socket().Close();
   }
@@ -61,10 +62,9 @@
   if (connection == nullptr) {
     connection =
         forwarder->connection_pool.CreateConnection(call.target, call.address);
-    forwarder->metrics->Add(base::Counter::kConnectionsOpened);
-    const net::ErrorCode ec =
-        co_await connection->Socket().Connect(call.address, deadline);
-    if (ec) {
+    const ConnectOutcome outcome =
+        co_await ConnectTarget(forwarder, connection, deadline);
+    if (outcome.status != ConnectStatus::kConnected) {
       co_return std::nullopt;
     }
   }
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -1,12 +1,14 @@
 #ifndef DAISYPOND_FORWARD_TARGET_CONNECTION_H_
 #define DAISYPOND_FORWARD_TARGET_CONNECTION_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "base/clock.h"
+#include "forward/connection_route.h"
 #include "net/timed_socket.h"
 
 namespace daisypond::forward {
@@ -42,6 +44,20 @@
   /// Number of requests sent on this connection.
   int RequestCount() const { return request_count_; }
 
+  ConnectionRoute Route() const {
+    return tunnel_peer == nullptr ? ConnectionRoute::kDirect
+                                  : ConnectionRoute::kTunnel;
+  }
+
+  /// The way to the target, for log lines.
+  std::string Via() const {
+    return tunnel_peer == nullptr ? "direct" : *tunnel_peer;
+  }
+
+  /// Name of the peer that relays the bytes; null for a direct connection.
+  std::shared_ptr<const std::string> tunnel_peer;
+  /// When bytes last arrived.
+  base::Millis last_heard_at{INT64_MIN / 2};
   /// How long the target keeps this connection open while it is idle.
   base::Millis idle_timeout{2000};
   /// Time at which the connection was last returned to the pool.
--- a/src/forward/target_selector.cc
+++ b/src/forward/target_selector.cc
@@ -398,6 +398,22 @@
   }
 }
 
+void TargetSelector::ForgetFailuresSince(const std::string& service,
+                                         Millis since) {
+  for (auto& it : states_) {
+    TargetState& state = it.second;
+    if (state.failed_at < since ||
+        (!service.empty() && state.target.service != service)) {
+      continue;
+    }
+    state.failed_at = {INT64_MIN / 2};
+    state.failures_in_row = 0;
+    state.avoided_until = {0};
+    state.unreachable_until = {0};
+    state.failure_rate = 0;
+  }
+}
+
 void TargetSelector::OnPeerReportedFailure(const std::string& id, Millis now) {
   if (TargetState* state = StateOf(id)) {
     state->suspected_at = now;
--- a/src/forward/target_selector.h
+++ b/src/forward/target_selector.h
@@ -162,6 +162,9 @@
   /// The connection to the target broke, or the target was unreachable or
   /// silent.
   void OnFailure(const std::string& id, base::Millis now);
+  /// Drops the failures since `since` of the targets of a service, or of all
+  /// targets if `service` is empty, because the targets were not their cause.
+  void ForgetFailuresSince(const std::string& service, base::Millis since);
   /// A peer reported the target as failed. The report counts only until this
   /// instance receives data from the target, because the fault may lie in the
   /// peer's own network.
