Add a tunnel to targets through peers and announce lost paths

An instance that is cut off from all targets can still reach its peers. src/tunnel opens a connection to a target, named by its id, through a peer (HTTP CONNECT); the peer copies bytes in both directions.

--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -19,6 +19,7 @@
 #include "forward/stream_record.h"
 #include "forward/target_loss.h"
 #include "forward/target_selector.h"
+#include "forward/tunnel_peer.h"
 
 namespace daisypond::forward {
 
@@ -125,6 +126,10 @@
                      const std::string& service,
                      std::function<void(StreamOrigin)> done)>
       find_stream_origin;
+  /// Called when this instance's direct path to the targets is lost or back.
+  std::function<void(bool is_lost)> on_path_changed;
+  /// Peers through which targets can be reached.
+  std::vector<TunnelPeer> tunnel_peers;
   /// Requests that wait for retry budget for one service, and the borrow
   /// requests to the shared pool on their behalf.
   struct RetryBorrowState {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,7 +26,9 @@
 #include "gateway/release_records.h"
 #include "gateway/settings.h"
 #include "gateway/status_server.h"
+#include "gateway/tunnel_target.h"
 #include "net/address.h"
+#include "tunnel/server.h"
 
 namespace daisypond::gateway {
 
@@ -58,7 +60,11 @@
         release_records_(&release_reader_,
                          Format::kReleaseTable,
                          MakeReleaseCallbacks()),
-        acceptor_(traffic_) {
+        acceptor_(traffic_),
+        tunnel_server_(traffic_.get_executor(),
+                       [this](const tunnel::ConnectRequest& it) {
+                         return FindTunnelTarget(it);
+                       }) {
     forwarder_.borrow_retries = [this](const std::string& service, int wanted,
                                        std::function<void(int)> done) {
       asio::post(control_, [this, service, wanted, done = std::move(done)] {
@@ -99,6 +105,11 @@
         asio::co_spawn(traffic_, ShareParts(), asio::detached);
       }
     };
+    forwarder_.on_path_changed = [this](bool is_lost) {
+      is_path_lost_ = is_lost;
+      asio::post(control_,
+                 [this, is_lost] { peer_link_->AnnouncePathLost(is_lost); });
+    };
     forwarder_.on_target_lost = [this](const forward::TargetLoss& target,
                                        uint64_t content_hash,
                                        forward::LossAudience audience) {
@@ -111,7 +122,7 @@
   /// Opens the ports and starts both threads. Returns false when an address
   /// could not be bound.
   bool Start() {
-    if (!Listen()) {
+    if (!Listen() || !ListenForTunnels()) {
       return false;
     }
     status_server_.emplace(settings_, &metrics_,
@@ -145,9 +156,9 @@
     return true;
   }
 
-  /// Continues to serve open and new requests until no connection is open
-  /// or Settings::stop_grace has nearly passed, then stops. Returns the number
-  /// of connections that were cut during a request.
+  /// Continues to serve open and new requests until no connection or tunnel is
+  /// open or Settings::stop_grace has nearly passed, then stops. Returns the
+  /// number of connections that were cut during a request.
   size_t Stop() {
     is_ready_ = false;
     const base::Millis stop_began_at = base::Clock::Now();
@@ -291,6 +302,20 @@
     return !ec;
   }
 
+  bool ListenForTunnels() {
+    return settings_.tunnel_listen.empty() ||
+           tunnel_server_.Listen(settings_.tunnel_listen);
+  }
+
+  /// Returns the address of the target to which a peer requests a tunnel.
+  tl::expected<std::string, tunnel::Status> FindTunnelTarget(
+      const tunnel::ConnectRequest& request) const {
+    if (is_path_lost_) {
+      return tl::unexpected(tunnel::Status::kRefused);
+    }
+    return FindTargetAddress(forwarder_.catalog, request);
+  }
+
   asio::awaitable<void> AcceptConnections() {
     while (true) {
       auto [ec, socket] = co_await acceptor_.async_accept(net::kAsTuple);
@@ -399,6 +424,11 @@
                  [this, suspects] { forwarder_.OnSuspectedByPeer(suspects); });
     };
     callbacks.on_member_count = [this](size_t n) { OnMemberCount(n); };
+    callbacks.on_tunnel_peers = [this](std::vector<forward::TunnelPeer> peers) {
+      asio::post(traffic_, [this, peers = std::move(peers)]() mutable {
+        forwarder_.tunnel_peers = std::move(peers);
+      });
+    };
     return callbacks;
   }
 
@@ -472,6 +502,7 @@
 
   void BeginStop(base::Millis stop_began_at) {
     forwarder_.is_stopping = true;
+    tunnel_server_.StopAccepting();
     forwarder_.stop_at = stop_began_at + settings_.stop_grace - kStopMargin;
     forwarder_.out_of_rotation_at = stop_began_at + kBalancerRemovalDelay;
     stopping_since_ = stop_began_at;
@@ -497,11 +528,12 @@
     }
     open_requests_ = n;
     open_connections_ = sessions_.size();
+    open_tunnels_ = tunnel_server_.OpenTunnels();
   }
 
   /// True when the process can end: the load balancer has stopped sending new
-  /// connections and no connection is open, or Settings::stop_grace has nearly
-  /// passed.
+  /// connections and no connection or tunnel is open, or Settings::stop_grace
+  /// has nearly passed.
   bool IsDrained(base::Millis stop_began_at) const {
     const base::Millis now = base::Clock::Now();
     if (now >= stop_began_at + settings_.stop_grace - kStopMargin / 2) {
@@ -509,7 +541,7 @@
     }
     return now >=
                stop_began_at + kBalancerRemovalDelay + kMaintenancePeriod * 2 &&
-           open_connections_ == 0;
+           open_connections_ == 0 && open_tunnels_ == 0;
   }
 
   Settings settings_;
@@ -525,6 +557,10 @@
   catalog::TableWatcher<typename Format::Reader> target_watcher_;
   ReleaseRecords<typename Format::Reader> release_records_;
   net::Tcp::acceptor acceptor_;
+  tunnel::Server tunnel_server_;
+  /// Of the traffic thread: true while this instance has no direct path to the
+  /// targets.
+  bool is_path_lost_ = false;
   std::optional<StatusServer> status_server_;
   std::optional<PeerLink> peer_link_;
   size_t member_count_ = 0;
@@ -541,6 +577,7 @@
   std::atomic<bool> is_ready_ = false;
   std::atomic<size_t> open_requests_ = 0;
   std::atomic<size_t> open_connections_ = 0;
+  std::atomic<size_t> open_tunnels_ = 0;
   std::thread traffic_thread_;
   std::thread control_thread_;
 };
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -1,3 +1,4 @@
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -6,6 +7,7 @@
 #include "gateway/forwarder_options.h"
 #include "gateway/settings.h"
 #include "gateway/shared_retry_budget.h"
+#include "gateway/tunnel_target.h"
 #include "tests/test_macros.h"
 
 namespace daisypond::gateway {
@@ -64,6 +66,8 @@
   CPPUNIT_TEST_SUITE(GatewayTest);
   CPPUNIT_TEST(TestParseSettings);
   CPPUNIT_TEST(TestSettingsErrorNamesFileLineAndKey);
+  CPPUNIT_TEST(TestTunnelAddressIsOptional);
+  CPPUNIT_TEST(TestTunnelNeedsAListedProcessThatStays);
   CPPUNIT_TEST(TestSlackOfAllInstancesStaysWithinTotal);
   CPPUNIT_TEST(TestSlackOfASplitGroupStaysWithinTotal);
   CPPUNIT_TEST(TestOlderConfigurationIsIgnored);
@@ -105,6 +109,40 @@
     EXPECT(error("instance: a-1\n", "").find("instance") != std::string::npos);
   }
 
+  void TestTunnelAddressIsOptional() {
+    EXPECT_EQ(std::string(), ParseSettings("f", kSettings)->tunnel_listen);
+    const auto with = [](const std::string& line) {
+      return ParseSettings("f.yaml", kSettings + line);
+    };
+    EXPECT_EQ(std::string("127.0.0.1:7006"),
+              with("tunnel_listen: 127.0.0.1:7006\n")->tunnel_listen);
+    EXPECT(with("tunnel_listen: here\n")
+               .error()
+               .ToString()
+               .starts_with("f.yaml:15: tunnel_listen"));
+  }
+
+  void TestTunnelNeedsAListedProcessThatStays() {
+    catalog::Catalog catalog;
+    const auto is_refused = [&](const tunnel::ConnectRequest& request) {
+      const auto it = FindTargetAddress(catalog, request);
+      return !it && it.error() == tunnel::Status::kRefused;
+    };
+    EXPECT(is_refused({"t", 0, "i"}));
+    catalog::Targets targets;
+    targets["t"].address = "10.0.0.1:1";
+    targets["t"].started_at = 7;
+    targets["leaving"].is_leaving = true;
+    catalog.targets = std::make_shared<const catalog::Targets>(targets);
+    for (const int64_t it : {0, 7}) {
+      EXPECT_EQ(std::string("10.0.0.1:1"),
+                FindTargetAddress(catalog, {"t", it, "i"}).value());
+    }
+    EXPECT(is_refused({"t", 6, "i"}));
+    EXPECT(is_refused({"u", 0, "i"}));
+    EXPECT(is_refused({"leaving", 0, "i"}));
+  }
+
   void TestSlackOfAllInstancesStaysWithinTotal() {
     Settings settings = *ParseSettings("f", kSettings);
     for (const size_t n : {1, 8, 83, 300}) {
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -30,6 +30,7 @@
   membership::PeerState self;
   self.instance = settings.instance;
   self.address = settings.peer_listen;
+  self.tunnel_address = settings.tunnel_listen;
   self.failure_domain = settings.failure_domain;
   self.region = settings.region;
   self.incarnation = static_cast<uint64_t>(base::Clock::UnixNow().count);
@@ -164,10 +165,27 @@
   callbacks.on_table_changed = [this] {
     retry_budget_.OnMembersChanged();
     callbacks_.on_member_count(membership_.Table().Reachable().size() + 1);
+    UpdateTunnelPeers();
   };
   return callbacks;
 }
 
+void PeerLink::UpdateTunnelPeers() {
+  std::vector<forward::TunnelPeer> peers;
+  for (const membership::PeerState& it : membership_.Table().Reachable()) {
+    // A peer that is leaving refuses tunnels; a suspected one may be dead.
+    if (it.status == membership::PeerStatus::kAlive &&
+        !it.tunnel_address.empty()) {
+      peers.push_back({it.instance, it.failure_domain, it.tunnel_address,
+                       !it.is_path_lost});
+    }
+  }
+  if (peers != tunnel_peers_) {
+    tunnel_peers_ = peers;
+    callbacks_.on_tunnel_peers(std::move(peers));
+  }
+}
+
 peer::PeerServerDependencies PeerLink::MakeServerDependencies() {
   peer::PeerServerDependencies dependencies;
   dependencies.post = callbacks_.post;
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -12,6 +12,7 @@
 #include "forward/forwarder.h"
 #include "forward/suspect.h"
 #include "forward/target_loss.h"
+#include "forward/tunnel_peer.h"
 #include "gateway/catalog_source.h"
 #include "gateway/settings.h"
 #include "gateway/shared_request_limit.h"
@@ -59,6 +60,9 @@
   /// Called with the number of instances in the group, including this one,
   /// whenever that number may have changed.
   std::function<void(size_t)> on_member_count;
+  /// Called with the peers that open tunnels to targets, whenever they have
+  /// changed.
+  std::function<void(std::vector<forward::TunnelPeer>)> on_tunnel_peers;
   /// Called when a peer reports that its targets have not changed since they
   /// were last fetched from it. `age` is the time since the peer's targets were
   /// last known to match the table service.
@@ -100,6 +104,11 @@
   /// and no fetch is in progress.
   void FetchFromPeer();
   void LeaveGroup() { membership_.AnnounceLeaving(); }
+  /// Tells all peers whether this instance has lost its direct path to the
+  /// targets.
+  void AnnouncePathLost(bool is_path_lost) {
+    membership_.AnnouncePathLost(is_path_lost);
+  }
 
   /// Answers those held requests of peers for which this instance has a newer
   /// catalog or whose long poll has timed out. To be called when the catalog
@@ -136,6 +145,7 @@
  private:
   peer::MembershipCallbacks MakeMembershipCallbacks();
   peer::PeerServerDependencies MakeServerDependencies();
+  void UpdateTunnelPeers();
   /// A peer's request for the catalog. It is answered when this instance has a
   /// newer catalog than the peer, at the latest at `expires_at`.
   struct HeldRequest {
@@ -162,6 +172,8 @@
   SharedStreamRecords stream_records_;
   peer::PeerServer server_;
   std::vector<HeldRequest> held_requests_;
+  /// The peers last passed to `on_tunnel_peers`.
+  std::vector<forward::TunnelPeer> tunnel_peers_;
   bool is_fetching_ = false;
   /// Address of the peer from which the last fetch got targets that are not
   /// older than kMaximumFreshAge. The next fetch goes to the same peer. Empty
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -35,6 +36,24 @@
   return fmt::format("127.0.0.1:{}", ntohs(address.sin_port));
 }
 
+/// The peers that open tunnels, as last reported. Thread-safe.
+class TunnelPeers {
+ public:
+  void Set(std::vector<forward::TunnelPeer> peers) {
+    const std::lock_guard lock(mutex_);
+    peers_ = std::move(peers);
+  }
+
+  std::vector<forward::TunnelPeer> Get() const {
+    const std::lock_guard lock(mutex_);
+    return peers_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<forward::TunnelPeer> peers_;
+};
+
 /// The peer link of an instance that serves no callers.
 class Member {
  public:
@@ -45,6 +64,7 @@
     settings.instance = name;
     settings.failure_domain = "d";
     settings.peer_listen = address;
+    settings.tunnel_listen = "10.0.0.1:1";
     settings.seed_peers = seeds;
     settings.retries.slack = 150;
     PeerLinkCallbacks callbacks;
@@ -62,6 +82,9 @@
     callbacks.on_catalog_unchanged = [](base::Millis) {};
     callbacks.on_target_lost = [](const forward::TargetLoss&, uint64_t) {};
     callbacks.on_member_count = [this](size_t n) { member_count = n; };
+    callbacks.on_tunnel_peers = [this](std::vector<forward::TunnelPeer> it) {
+      tunnel_peers.Set(std::move(it));
+    };
     callbacks.suspects = [this] { return suspected; };
     callbacks.on_suspects = [this](const std::vector<forward::Suspect>& it) {
       learned_hash = it.at(0).id.hash;
@@ -101,6 +124,10 @@
     loop_.Post([this, suspects] { link_->ShareSuspects(suspects); });
   }
 
+  void AnnouncePathLost(bool is_lost) {
+    loop_.Post([this, is_lost] { link_->AnnouncePathLost(is_lost); });
+  }
+
   void RecordStream(const std::string& id,
                     const forward::StreamRecord& record) {
     loop_.Post(
@@ -130,6 +157,7 @@
   std::vector<forward::Suspect> suspected;
   std::atomic<uint64_t> learned_hash = 0;
   std::atomic<size_t> member_count = 0;
+  TunnelPeers tunnel_peers;
 
  private:
   base::Metrics metrics_;
@@ -151,6 +179,7 @@
   CPPUNIT_TEST_SUITE(PeerLinkTest);
   CPPUNIT_TEST(TestRestartedInstanceLearnsOfCrashingRequests);
   CPPUNIT_TEST(TestAllMembersAreToldOfSuspects);
+  CPPUNIT_TEST(TestAllMembersLearnOfALostPathWithinASecond);
   CPPUNIT_TEST(TestStreamRecordOutlivesTheInstanceThatServedIt);
   CPPUNIT_TEST(TestOnlyVersionOfAServiceIsTheOriginOfItsStreams);
   CPPUNIT_TEST(TestMembersShareTheLimitOfATarget);
@@ -194,6 +223,34 @@
     EXPECT(BecomesTrue([&] { return c.learned_hash == 7; }, kTimeout));
   }
 
+  void TestAllMembersLearnOfALostPathWithinASecond() {
+    constexpr base::Millis kTimeout{5000};
+    constexpr base::Millis kMaximumDelay{1000};
+    const std::string address = FreeAddress();
+    Member a("a", address, {});
+    Member b("b", FreeAddress(), {address});
+    Member c("c", FreeAddress(), {address});
+    for (Member* it : {&a, &b, &c}) {
+      it->Start();
+    }
+    for (Member* it : {&a, &b, &c}) {
+      EXPECT(BecomesTrue([&] { return it->tunnel_peers.Get().size() == 2; },
+                         kTimeout));
+    }
+    const auto see_path = [&](bool has_path) {
+      const forward::TunnelPeer expected{"a", "d", "10.0.0.1:1", has_path};
+      const auto at_b = b.tunnel_peers.Get();
+      const auto at_c = c.tunnel_peers.Get();
+      return !at_b.empty() && at_b.front() == expected && !at_c.empty() &&
+             at_c.front() == expected;
+    };
+    EXPECT(see_path(true));
+    for (const bool is_lost : {true, false, true}) {
+      a.AnnouncePathLost(is_lost);
+      EXPECT(BecomesTrue([&] { return see_path(!is_lost); }, kMaximumDelay));
+    }
+  }
+
   void TestStreamRecordOutlivesTheInstanceThatServedIt() {
     constexpr base::Millis kTimeout{5000};
     const std::string address = FreeAddress();
--- a/src/gateway/serve.cc
+++ b/src/gateway/serve.cc
@@ -58,7 +58,8 @@
     Log(LogLevel::kError, "cannot_listen",
         {{"listen", settings.listen},
          {"ready_listen", settings.ready_listen},
-         {"metrics_listen", settings.metrics_listen}});
+         {"metrics_listen", settings.metrics_listen},
+         {"tunnel_listen", settings.tunnel_listen}});
     return kExitCannotListen;
   }
   Log(LogLevel::kInfo, "serving",
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -47,6 +47,7 @@
   into->ready_listen = reader.Address("ready_listen", true);
   into->metrics_listen = reader.Address("metrics_listen", true);
   into->peer_listen = reader.Address("peer_listen", true);
+  into->tunnel_listen = reader.Address("tunnel_listen", false);
   into->seed_peers = reader.TextList("seed_peers");
   into->store = reader.Address("store", true);
   into->direct_group = static_cast<size_t>(reader.Integer(
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -34,6 +34,9 @@
   std::string metrics_listen;
   /// Address for connections of other instances.
   std::string peer_listen;
+  /// Address at which this instance opens tunnels to targets for other
+  /// instances. Empty: it opens none.
+  std::string tunnel_listen;
   /// Addresses of instances through which this instance discovers all others.
   std::vector<std::string> seed_peers;
   /// Address of the table service, which holds the configuration and targets.
--- a/src/membership/peer_state.h
+++ b/src/membership/peer_state.h
@@ -25,11 +25,15 @@
   std::string address;
   std::string failure_domain;
   std::string region;
-  /// Increases with each start of the instance and each time it refutes a
-  /// suspicion.
+  /// Increases with each start of the instance, each time it refutes a
+  /// suspicion and each time `is_path_lost` changes.
   uint64_t incarnation = 0;
   PeerStatus status = PeerStatus::kAlive;
   uint64_t configuration_version = 0;
+  /// "IP:PORT" at which it opens tunnels to targets; empty if it opens none.
+  std::string tunnel_address;
+  /// True if it cannot reach the targets directly.
+  bool is_path_lost = false;
 };
 
 }  // namespace daisypond::membership
--- a/src/membership/peer_table.cc
+++ b/src/membership/peer_table.cc
@@ -18,6 +18,23 @@
   return update.status > known.status;
 }
 
+void CopyTunnelState(const PeerState& from, PeerState* to) {
+  to->tunnel_address = from.tunnel_address;
+  to->is_path_lost = from.is_path_lost;
+}
+
+/// Adds what `update` says of tunnels to the known state of the same
+/// incarnation, within which it does not change. A peer of an earlier version
+/// passes updates on without it. Returns true when the state changed.
+bool MergeTunnelState(const PeerState& update, PeerState* known) {
+  if (update.tunnel_address.empty() || !known->tunnel_address.empty() ||
+      update.incarnation != known->incarnation) {
+    return false;
+  }
+  CopyTunnelState(update, known);
+  return true;
+}
+
 }  // namespace
 
 PeerTable::PeerTable(PeerState self, PeerTableOptions options, uint64_t seed)
@@ -49,7 +66,8 @@
   if (Outranks(update, entry.state)) {
     const uint64_t version = std::max(update.configuration_version,
                                       entry.state.configuration_version);
-    entry.state = update;
+    const PeerState known = std::exchange(entry.state, update);
+    MergeTunnelState(known, &entry.state);
     entry.state.configuration_version = version;
     entry.changed_at = now;
     is_changed = true;
@@ -58,6 +76,7 @@
     entry.state.configuration_version = update.configuration_version;
     is_changed = true;
   }
+  is_changed |= MergeTunnelState(update, &entry.state);
   if (is_changed) {
     entry.last_heard_at = now;
     entry.times_sent = 0;
@@ -189,6 +208,13 @@
   self_.status = PeerStatus::kLeaving;
 }
 
+void PeerTable::SetPathLost(bool is_path_lost) {
+  if (self_.is_path_lost != is_path_lost) {
+    self_.is_path_lost = is_path_lost;
+    ++self_.incarnation;
+  }
+}
+
 std::optional<base::Millis> PeerTable::TimeSinceHeard(
     const std::string& instance,
     base::Millis now) const {
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -65,6 +65,8 @@
   const PeerState& Self() const { return self_; }
   void SetConfigurationVersion(uint64_t version);
   void SetLeaving();
+  /// Raises the own incarnation, so that the change outranks the known state.
+  void SetPathLost(bool is_path_lost);
 
   /// Returns the time since the peer answered a probe or an update changed its
   /// entry, or nothing for an unknown peer.
--- a/src/membership/peer_table_test.cc
+++ b/src/membership/peer_table_test.cc
@@ -120,6 +120,8 @@
   CPPUNIT_TEST(TestGroupRejoinsAfterPartition);
   CPPUNIT_TEST(TestSuspectedInstanceRaisesIncarnation);
   CPPUNIT_TEST(TestOutdatedUpdateIsIgnored);
+  CPPUNIT_TEST(TestLostPathOutranksTheKnownState);
+  CPPUNIT_TEST(TestTunnelAddressSurvivesPeersThatDoNotKnowIt);
   CPPUNIT_TEST(TestCopyPeersPreferOtherDomains);
   CPPUNIT_TEST(TestCopyLookupIsLimitedInLargeGroups);
   CPPUNIT_TEST_SUITE_END();
@@ -218,6 +220,47 @@
               RankCopyPeers("key", own, peers).back().instance);
   }
 
+  void TestLostPathOutranksTheKnownState() {
+    PeerTable instance(MakePeer(1), PeerTableOptions(), 1);
+    PeerTable peer(MakePeer(2), PeerTableOptions(), 2);
+    peer.ApplyUpdate(instance.Self(), Millis{1});
+    for (const bool is_lost : {true, false}) {
+      const PeerState before = instance.Self();
+      instance.SetPathLost(is_lost);
+      EXPECT(peer.ApplyUpdate(instance.Self(), Millis{2}));
+      EXPECT(!peer.ApplyUpdate(before, Millis{3}));
+      EXPECT_EQ(is_lost, peer.Reachable().at(0).is_path_lost);
+    }
+    const uint64_t incarnation = instance.Self().incarnation;
+    instance.SetPathLost(false);
+    EXPECT_EQ(incarnation, instance.Self().incarnation);
+  }
+
+  void TestTunnelAddressSurvivesPeersThatDoNotKnowIt() {
+    PeerState state = MakePeer(1);
+    state.tunnel_address = "10.0.0.1:2";
+    state.is_path_lost = true;
+    const PeerState relayed = MakePeer(1);
+    PeerTable peer(MakePeer(2), PeerTableOptions(), 2);
+    const auto has_tunnel_state = [&] {
+      const PeerState known = peer.Reachable().at(0);
+      return known.tunnel_address == state.tunnel_address && known.is_path_lost;
+    };
+    peer.ApplyUpdate(relayed, Millis{1});
+    EXPECT(peer.ApplyUpdate(state, Millis{2}));
+    EXPECT(has_tunnel_state());
+    EXPECT(!peer.ApplyUpdate(relayed, Millis{3}));
+    EXPECT(has_tunnel_state());
+    PeerState suspected = relayed;
+    suspected.status = PeerStatus::kSuspect;
+    EXPECT(peer.ApplyUpdate(suspected, Millis{4}));
+    EXPECT(has_tunnel_state());
+    PeerState restarted = relayed;
+    restarted.incarnation = 9;
+    EXPECT(peer.ApplyUpdate(restarted, Millis{5}));
+    EXPECT(!has_tunnel_state());
+  }
+
   void TestCopyLookupIsLimitedInLargeGroups() {
     std::vector<PeerState> peers;
     for (int i = 1; i < 350; ++i) {
--- a/src/peer/convert.cc
+++ b/src/peer/convert.cc
@@ -11,6 +11,8 @@
   message.set_incarnation(state.incarnation);
   message.set_status(static_cast<uint32_t>(state.status));
   message.set_configuration_version(state.configuration_version);
+  message.set_tunnel_address(state.tunnel_address);
+  message.set_is_path_lost(state.is_path_lost);
   return message;
 }
 
@@ -25,6 +27,8 @@
                      ? static_cast<membership::PeerStatus>(message.status())
                      : membership::PeerStatus::kDead;
   state.configuration_version = message.configuration_version();
+  state.tunnel_address = message.tunnel_address();
+  state.is_path_lost = message.is_path_lost();
   return state;
 }
 
--- a/src/peer/membership_protocol.cc
+++ b/src/peer/membership_protocol.cc
@@ -14,6 +14,8 @@
 constexpr base::Millis kProbeTimeout{400};
 constexpr base::Millis kIndirectProbeTimeout{800};
 constexpr size_t kIndirectProbers = 2;
+// How often this instance's new state is sent to a peer that does not answer.
+constexpr int kStateTries = 2;
 constexpr size_t kMaximumChangesPerMessage = 24;
 // Every 30th probe requests the peer's whole table, in case the messages with
 // earlier changes were lost.
@@ -224,6 +226,29 @@
   }
 }
 
+void MembershipProtocol::AnnouncePathLost(bool is_path_lost) {
+  table_.SetPathLost(is_path_lost);
+  for (const membership::PeerState& it : table_.Reachable()) {
+    SendState(it.address, kStateTries);
+  }
+}
+
+void MembershipProtocol::SendState(const std::string& address, int n_tries) {
+  ExchangeRequest request;
+  *request.mutable_sender() = ToProto(table_.Self());
+  client_->Exchange(
+      address, request, kProbeTimeout,
+      [this, address, n_tries](std::optional<ExchangeReply> reply) {
+        callbacks_.post([this, address, n_tries, reply = std::move(reply)] {
+          if (reply) {
+            ApplyMessage(*reply);
+          } else if (n_tries > 1) {
+            SendState(address, n_tries - 1);
+          }
+        });
+      });
+}
+
 std::vector<membership::PeerState> MembershipProtocol::Reachable() {
   table_.SetConfigurationVersion(callbacks_.configuration_version());
   return table_.Reachable();
--- a/src/peer/membership_protocol.h
+++ b/src/peer/membership_protocol.h
@@ -63,6 +63,9 @@
   /// Tells peers that this instance is leaving.
   void AnnounceLeaving();
 
+  /// Tells peers whether this instance has lost its direct path to the targets.
+  void AnnouncePathLost(bool is_path_lost);
+
   const membership::PeerTable& Table() const { return table_; }
 
   /// Updates this instance's configuration version in the peer table and
@@ -71,6 +74,9 @@
 
  private:
   void ContactPeer(const std::string& address);
+  /// Sends this instance's state to a peer, up to `n_tries` times until it
+  /// answers.
+  void SendState(const std::string& address, int n_tries);
   /// Asks other peers to probe a peer that did not answer this instance.
   void ProbeIndirectly(const membership::PeerState& peer);
   void OnProbeResult(const membership::PeerState& peer,
--- /dev/null
+++ b/src/tunnel/byte_relay.cc
@@ -0,0 +1,82 @@
+#include "tunnel/byte_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+namespace daisypond::tunnel {
+
+ByteRelay::ByteRelay(std::unique_ptr<net::TimedSocket> requester,
+                     std::unique_ptr<net::TimedSocket> target)
+    : requester_(std::move(requester)),
+      target_(std::move(target)),
+      to_target_{requester_.get(), target_.get(), RelayEnd::kRequesterFailed,
+                 RelayEnd::kTargetFailed, &result_.bytes_to_target},
+      from_target_{target_.get(), requester_.get(), RelayEnd::kTargetFailed,
+                   RelayEnd::kRequesterFailed, &result_.bytes_from_target} {}
+
+void ByteRelay::Start(std::string_view first_bytes,
+                      std::function<void(const RelayResult&)> on_ended) {
+  on_ended_ = std::move(on_ended);
+  to_target_.n_pending = std::min(first_bytes.size(), kBufferBytes);
+  std::copy_n(first_bytes.begin(), to_target_.n_pending,
+              to_target_.buf.begin());
+  for (Flow* it : {&to_target_, &from_target_}) {
+    ++n_running_;
+    net::asio::co_spawn(
+        it->from->Raw().get_executor(),
+        [self = shared_from_this(), it] { return self->Run(it); },
+        net::asio::detached);
+  }
+}
+
+net::asio::awaitable<void> ByteRelay::Run(Flow* flow) {
+  const RelayEnd end = co_await Copy(flow);
+  if (end == RelayEnd::kClosed) {
+    net::ErrorCode ignored;
+    flow->to->Raw().shutdown(net::Tcp::socket::shutdown_send, ignored);
+  } else {
+    OnFailed(end);
+  }
+  if (--n_running_ == 0) {
+    requester_->Close();
+    target_->Close();
+    on_ended_(result_);
+  }
+}
+
+net::asio::awaitable<RelayEnd> ByteRelay::Copy(Flow* flow) {
+  while (true) {
+    const auto [write_ec, n_written] = co_await net::asio::async_write(
+        flow->to->Raw(), net::asio::buffer(flow->buf.data(), flow->n_pending),
+        net::kAsTuple);
+    *flow->n_written += n_written;
+    if (write_ec) {
+      co_return flow->write_failure;
+    }
+    const auto [read_ec, n_read] = co_await flow->from->Raw().async_read_some(
+        net::asio::buffer(flow->buf), net::kAsTuple);
+    if (read_ec == net::asio::error::eof) {
+      co_return RelayEnd::kClosed;
+    }
+    if (read_ec) {
+      co_return flow->read_failure;
+    }
+    flow->n_pending = n_read;
+  }
+}
+
+void ByteRelay::OnFailed(RelayEnd end) {
+  if (result_.end != RelayEnd::kClosed) {
+    return;
+  }
+  result_.end = end;
+  requester_->Reset();
+  target_->Reset();
+}
+
+}  // namespace daisypond::tunnel
--- /dev/null
+++ b/src/tunnel/server.cc
@@ -0,0 +1,213 @@
+#include "tunnel/server.h"
+
+#include <array>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include "base/log.h"
+#include "net/address.h"
+#include "tunnel/handshake.h"
+
+namespace daisypond::tunnel {
+
+namespace {
+
+using net::asio::awaitable;
+
+// Connections beyond this number whose request has not arrived yet are reset.
+constexpr size_t kMaximumHandshakes = 128;
+constexpr base::Millis kAcceptRetryDelay{50};
+// Receive buffer of each socket. Bounds what the system holds for a tunnel
+// whose other side reads slowly.
+constexpr int kReceiveBufferBytes = 64 << 10;
+
+template <typename Socket>
+void LimitReceiveBuffer(Socket& socket) {
+  net::ErrorCode ignored;
+  socket.set_option(
+      net::asio::socket_base::receive_buffer_size(kReceiveBufferBytes),
+      ignored);
+}
+
+void LogRefused(const ConnectRequest& request, std::string_view outcome) {
+  base::Log(base::LogLevel::kInfo, "tunnel_refused",
+            {{"instance", request.instance},
+             {"target", request.target},
+             {"outcome", outcome}});
+}
+
+void LogOpened(const ConnectRequest& request, base::Millis took) {
+  base::Log(base::LogLevel::kInfo, "tunnel_opened",
+            {{"instance", request.instance},
+             {"target", request.target},
+             {"outcome", kStatusNames.NameOf(Status::kOpen)},
+             {"took_ms", took.count}});
+}
+
+void LogEnded(const ConnectRequest& request,
+              const RelayResult& result,
+              base::Millis duration) {
+  base::Log(base::LogLevel::kInfo, "tunnel_ended",
+            {{"instance", request.instance},
+             {"target", request.target},
+             {"outcome", kRelayEndNames.NameOf(result.end)},
+             {"to_target_bytes", result.bytes_to_target},
+             {"from_target_bytes", result.bytes_from_target},
+             {"duration_ms", duration.count}});
+}
+
+/// Sends the answer. Returns false when the connection failed.
+awaitable<bool> SendAnswer(net::TimedSocket* requester, Status status) {
+  const std::string answer = FormatAnswer(status);
+  const auto [ec, n] = co_await net::asio::async_write(
+      requester->Raw(), net::asio::buffer(answer), net::kAsTuple);
+  co_return !ec;
+}
+
+}  // namespace
+
+Server::Server(const net::asio::any_io_executor& executor,
+               FindAddress find_address,
+               size_t maximum_tunnels)
+    : executor_(executor),
+      find_address_(std::move(find_address)),
+      maximum_tunnels_(maximum_tunnels),
+      acceptor_(executor) {}
+
+bool Server::Listen(const std::string& address) {
+  const auto endpoint = net::ParseAddress(address);
+  if (!endpoint) {
+    return false;
+  }
+  net::ErrorCode ec;
+  acceptor_.open(endpoint->protocol(), ec);
+  acceptor_.set_option(net::asio::socket_base::reuse_address(true), ec);
+  // Accepted connections inherit the limit.
+  LimitReceiveBuffer(acceptor_);
+  acceptor_.bind(*endpoint, ec);
+  if (!ec) {
+    acceptor_.listen(net::asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return false;
+  }
+  net::asio::co_spawn(executor_, AcceptConnections(), net::asio::detached);
+  return true;
+}
+
+awaitable<void> Server::AcceptConnections() {
+  while (true) {
+    auto [ec, socket] = co_await acceptor_.async_accept(net::kAsTuple);
+    if (ec) {
+      base::Log(base::LogLevel::kWarning, "tunnel_accept_failed",
+                {{"error", ec.message()}});
+      net::asio::steady_timer timer(executor_, kAcceptRetryDelay.ToChrono());
+      co_await timer.async_wait(net::kAsTuple);
+      continue;
+    }
+    if (n_handshakes_ >= kMaximumHandshakes) {
+      net::TimedSocket(std::move(socket)).Reset();
+      continue;
+    }
+    net::asio::co_spawn(executor_, ServeConnection(std::move(socket)),
+                        net::asio::detached);
+  }
+}
+
+awaitable<void> Server::ServeConnection(net::Tcp::socket socket) {
+  Handshake handshake;
+  handshake.began_at = base::Clock::Now();
+  handshake.requester = std::make_unique<net::TimedSocket>(std::move(socket));
+  handshake.requester->SetTcpOptions(net::DeadPeerDetection::kKeepAliveProbes);
+  ++n_handshakes_;
+  const bool is_received = co_await ReadRequest(&handshake);
+  --n_handshakes_;
+  if (!is_received) {
+    LogRefused(handshake.request, "no_request");
+    handshake.requester->Reset();
+    co_return;
+  }
+  auto address = Admit(handshake.request);
+  if (!address) {
+    LogRefused(handshake.request, kStatusNames.NameOf(address.error()));
+    co_await SendAnswer(handshake.requester.get(), address.error());
+    co_return;
+  }
+  ++n_tunnels_;
+  co_await OpenTunnel(std::move(handshake), std::move(*address));
+}
+
+awaitable<bool> Server::ReadRequest(Handshake* handshake) {
+  std::string received;
+  std::array<char, kMaximumHandshakeBytes> buf{};
+  net::TimedSocket* requester = handshake->requester.get();
+  requester->SetDeadline(handshake->began_at + kRequestTimeout);
+  while (!requester->HasTimedOut()) {
+    const auto [ec, n] = co_await requester->Raw().async_read_some(
+        net::asio::buffer(buf), net::kAsTuple);
+    if (ec) {
+      break;
+    }
+    received.append(buf.data(), n);
+    auto parsed = ParseRequest(received);
+    if (parsed) {
+      requester->ClearDeadline();
+      handshake->request = std::move(parsed->request);
+      handshake->first_bytes = received.substr(parsed->size);
+      co_return true;
+    }
+    if (parsed.error() == ParseError::kMalformed) {
+      break;
+    }
+  }
+  co_return false;
+}
+
+tl::expected<std::string, Status> Server::Admit(const ConnectRequest& request) {
+  if (admission_ == Admission::kStopped || n_tunnels_ >= maximum_tunnels_) {
+    return tl::unexpected(Status::kRefused);
+  }
+  return find_address_(request);
+}
+
+awaitable<void> Server::OpenTunnel(Handshake handshake, std::string address) {
+  auto target = std::make_unique<net::TimedSocket>(executor_);
+  net::ErrorCode ec;
+  target->Raw().open(net::Tcp::v4(), ec);
+  LimitReceiveBuffer(target->Raw());
+  ec = co_await target->Connect(address, base::Clock::Now() + kConnectTimeout);
+  const Status status = ec ? Status::kTargetUnreachable : Status::kOpen;
+  const bool is_answered =
+      co_await SendAnswer(handshake.requester.get(), status);
+  if (!ec && is_answered) {
+    target->SetTcpOptions(net::DeadPeerDetection::kKeepAliveProbes);
+    StartRelay(std::move(handshake), std::move(target));
+    co_return;
+  }
+  --n_tunnels_;
+  target->Reset();
+  LogRefused(handshake.request,
+             ec ? kStatusNames.NameOf(status) : "requester_gone");
+}
+
+void Server::StartRelay(Handshake handshake,
+                        std::unique_ptr<net::TimedSocket> target) {
+  const base::Millis opened_at = base::Clock::Now();
+  LogOpened(handshake.request, opened_at - handshake.began_at);
+  const auto relay = std::make_shared<ByteRelay>(std::move(handshake.requester),
+                                                 std::move(target));
+  relay->Start(handshake.first_bytes,
+               [this, request = std::move(handshake.request),
+                opened_at](const RelayResult& result) {
+                 --n_tunnels_;
+                 LogEnded(request, result, base::Clock::Now() - opened_at);
+               });
+}
+
+}  // namespace daisypond::tunnel
