--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -585,10 +585,24 @@
     LogSendEnded(placement, result, Clock::Now() - began_at);
     if (!result.finished && !is_caller_gone_) {
       RecordFailure(placement, result);
+      co_await WaitForPathCheck(placement);
     }
     co_return result;
   }
 
+  /// Waits until it is known whether the target or the path to it is lost, so
+  /// that the next send takes the right way.
+  net::asio::awaitable<void> WaitForPathCheck(const Placement& placement) {
+    if (std::exchange(is_loss_checked_, false)) {
+      // A braced temporary in a co_await expression is destroyed twice by GCC
+      // 12.
+      std::string id = placement.id;
+      co_await forwarder_->path_monitor.WaitForCheck(
+          std::move(id),
+          std::min(deadline_, Clock::Now() + LossHold::kMaximumHold));
+    }
+  }
+
   void RecordFailure(const Placement& placement, const SendResult& result) {
     const Millis now = Clock::Now();
     if (result.outcome == SendOutcome::kRefused) {
@@ -642,6 +656,7 @@
             : LossKind::kRequestFailed,
         send_route_);
     last_lost_domain_ = placement.failure_domain;
+    is_loss_checked_ = send_route_ == ConnectionRoute::kDirect;
   }
 
   /// True when the send failed because the path to the target was lost; another
@@ -1398,6 +1413,8 @@
   /// The connection of the send in progress.
   std::shared_ptr<TargetConnection> active_connection_;
   ConnectionRoute send_route_ = ConnectionRoute::kDirect;
+  /// True when the last send has begun a check of the path to its target.
+  bool is_loss_checked_ = false;
   /// The last error answer of a target. It is relayed if no other target
   /// answers without an error.
   std::string fallback_answer_;
