--- a/src/forward/connect_target.cc
+++ b/src/forward/connect_target.cc
@@ -37,11 +37,15 @@
     monitor.OnConnected(connection->Target());
     co_return ConnectStatus::kConnected;
   }
-  const bool has_timed_out = connection->Socket().HasTimedOut();
-  if (ec == net::asio::error::operation_aborted && !has_timed_out) {
-    co_return ConnectStatus::kAborted;
+  if (connection->IsAbandoned()) {
+    co_return ConnectStatus::kAbandoned;
   }
-  if (!has_timed_out || base::Clock::Now() - began_at >= kMinimumConnectTime) {
+  // The monitor cancels connects when the path is lost.
+  const bool is_cancelled = ec == net::asio::error::operation_aborted &&
+                            !connection->Socket().HasTimedOut();
+  const bool is_short = connection->Socket().HasTimedOut() &&
+                        base::Clock::Now() - began_at < kMinimumConnectTime;
+  if (!is_cancelled && !is_short) {
     monitor.OnConnectFailed(connection->Target());
   }
   co_return ConnectStatus::kUnreachable;
@@ -67,6 +71,9 @@
   const tunnel::Status status = co_await tunnel::Open(
       &connection->Socket(), std::move(peer.address), std::move(request),
       std::min(deadline, began_at + kTunnelTimeout));
+  if (connection->IsAbandoned()) {
+    co_return status;
+  }
   const Millis now = base::Clock::Now();
   switch (status) {
     case tunnel::Status::kOpen:
@@ -111,6 +118,9 @@
     tried.insert(peer->instance);
     const tunnel::Status status =
         co_await OpenTunnel(forwarder, connection, *peer, deadline);
+    if (connection->IsAbandoned()) {
+      co_return ConnectStatus::kAbandoned;
+    }
     if (status == tunnel::Status::kOpen) {
       co_return ConnectStatus::kConnected;
     }
@@ -134,12 +144,12 @@
   const bool was_lost = path.StateOfTarget(target) == PathState::kLost;
   if (!was_lost || !has_peers) {
     outcome.status = co_await ConnectDirectly(forwarder, connection, deadline);
-    if (outcome.status == ConnectStatus::kConnected || !has_peers) {
+    if (outcome.status != ConnectStatus::kUnreachable || !has_peers) {
       co_return outcome;
     }
     const PathState state =
         co_await forwarder->path_monitor.WaitForCheck(target, deadline);
-    if (state != PathState::kLost) {
+    if (state != PathState::kLost || connection->IsAbandoned()) {
       co_return outcome;
     }
   }
--- a/src/forward/connect_target.h
+++ b/src/forward/connect_target.h
@@ -15,12 +15,12 @@
 enum class ConnectStatus : uint8_t {
   kConnected,
   kUnreachable,
-  /// The socket was closed meanwhile.
-  kAborted,
+  /// Nobody waits for the connection any more.
+  kAbandoned,
 };
 
 inline constexpr base::NameTable<ConnectStatus, 3>
-    kConnectStatusNames("connected", "unreachable", "aborted");
+    kConnectStatusNames("connected", "unreachable", "abandoned");
 
 struct ConnectOutcome {
   ConnectStatus status = ConnectStatus::kUnreachable;
--- a/src/forward/cut_path_test.cc
+++ b/src/forward/cut_path_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -264,7 +265,8 @@
   void setUp() override {
     targets_.clear();
     n_swallowed_ = 0;
-    n_to_swallow_ = 0;
+    are_open_connections_hanging_ = false;
+    open_connections_.clear();
     n_to_break_ = 0;
     for (int i = 0; i < 6; ++i) {
       targets_.push_back(std::make_unique<FakeTarget>(
@@ -321,11 +323,14 @@
 
   void TestOpenRequestMovesToAPeerWhenItsConnectionHangs() {
     ApplyTargetAddresses();
-    EXPECT(instance_->Request("GET", "/safe/a", "\r\n\r\n")
-               .starts_with("HTTP/1.1 200 "));
+    // Enough for a pooled connection to each target that is preferred.
+    for (int i = 0; i < 20; ++i) {
+      EXPECT(instance_->Request("GET", "/safe/a", "body")
+                 .starts_with("HTTP/1.1 200 "));
+    }
     const HangingAddress hanging;
     ApplyAddress(hanging.Address());
-    n_to_swallow_ = 1;
+    are_open_connections_hanging_ = true;
     const Millis began_at = base::Clock::Now();
     EXPECT(instance_->Request("GET", "/safe/a", "\r\n\r\n")
                .starts_with("HTTP/1.1 200 "));
@@ -373,8 +378,7 @@
       --n_to_break_;
       return false;
     }
-    if (n_to_swallow_ > 0) {
-      --n_to_swallow_;
+    if (IsHanging(connection)) {
       ++n_swallowed_;
       return true;
     }
@@ -397,6 +401,15 @@
     return connection.Send("0\r\n\r\n");
   }
 
+  bool IsHanging(const LoopbackConnection& connection) {
+    const std::lock_guard lock(mutex_);
+    if (!are_open_connections_hanging_) {
+      open_connections_.insert(&connection);
+      return false;
+    }
+    return open_connections_.contains(&connection);
+  }
+
   void StartPeer(std::function<std::string(size_t)> find_address) {
     peer_ = std::make_unique<Peer>(std::move(find_address));
     EXPECT(peer_->Start());
@@ -476,7 +489,10 @@
   std::vector<std::unique_ptr<FakeTarget>> targets_;
   std::unique_ptr<CutInstance> instance_;
   std::unique_ptr<Peer> peer_;
-  std::atomic<int> n_to_swallow_ = 0;
+  std::mutex mutex_;
+  /// Connections that were open before they began to hang.
+  std::set<const LoopbackConnection*> open_connections_;
+  std::atomic<bool> are_open_connections_hanging_ = false;
   std::atomic<int> n_swallowed_ = 0;
   std::atomic<int> n_to_break_ = 0;
 };
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -1254,7 +1254,7 @@
   void OnCallerGone() {
     is_caller_gone_ = true;
     if (active_connection_ != nullptr) {
-      active_connection_->Socket().Close();
+      active_connection_->Abandon();
     }
   }
 
--- a/src/forward/path_monitor.cc
+++ b/src/forward/path_monitor.cc
@@ -18,11 +18,13 @@
 
 constexpr Millis kCheckPollPeriod{20};
 constexpr Millis kLostPollPeriod{100};
-constexpr Millis kSilencePollPeriod{200};
+constexpr Millis kIdlePollPeriod{500};
+// Much longer than a round trip.
+constexpr Millis kSlowConnect{100};
 // When requests are open and nothing arrives for this long, the path is
 // checked. Doubled each time that the path turns out to be sound.
-constexpr Millis kSilenceTimeout{600};
-constexpr Millis kMaximumSilenceTimeout{2400};
+constexpr Millis kSilenceTimeout{500};
+constexpr Millis kMaximumSilenceTimeout{2000};
 // Bytes that arrive within this time of the first failure may have been sent
 // before the path was lost.
 constexpr Millis kFlightTime{50};
@@ -35,7 +37,13 @@
       timer_(forwarder->executor) {}
 
 void PathMonitor::OnConnectBegun(TargetConnection* connection) {
-  open_connects_.insert(connection);
+  const Millis now = base::Clock::Now();
+  open_connects_[connection] = now;
+  const Millis check_at = now + kSlowConnect;
+  if (!is_running_ || timer_.expiry() > std::chrono::steady_clock::time_point(
+                                            check_at.ToChrono())) {
+    Wake();
+  }
 }
 
 void PathMonitor::OnConnectEnded(TargetConnection* connection) {
@@ -204,10 +212,10 @@
     return it.Route() == ConnectionRoute::kDirect && it.idle_since < since &&
            IsInScope(it, service);
   });
-  for (TargetConnection* it : open_connects_) {
-    if (IsInScope(*it, service)) {
+  for (const auto& it : open_connects_) {
+    if (IsInScope(*it.first, service)) {
       net::ErrorCode ignored;
-      it->Socket().Raw().cancel(ignored);
+      it.first->Socket().Raw().cancel(ignored);
     }
   }
   std::vector<std::shared_ptr<TargetConnection>> interrupted;
@@ -262,23 +270,40 @@
   }
 }
 
-void PathMonitor::CheckSilence() {
-  Millis oldest{INT64_MAX};
+void PathMonitor::CheckSlowConnects() {
+  const Millis now = base::Clock::Now();
+  for (const auto& it : open_connects_) {
+    const std::string& target = it.first->Target();
+    if (now - it.second >= kSlowConnect &&
+        path_.StateOfTarget(target) == PathState::kDirect) {
+      Suspect(target, PathSuspicion::kConnectSlow);
+    }
+  }
+}
+
+std::optional<Millis> PathMonitor::SilentSince() {
+  std::optional<Millis> oldest;
   for (const auto& it : open_sends_) {
     if (it.first->Route() == ConnectionRoute::kDirect) {
-      oldest = std::min(oldest, it.second.began_at);
+      oldest =
+          std::min(oldest.value_or(it.second.began_at), it.second.began_at);
       last_heard_at_ = std::max(last_heard_at_, it.first->last_heard_at);
     }
   }
-  if (oldest.count == INT64_MAX || path_.State() != PathState::kDirect) {
+  return oldest ? std::optional(std::max(*oldest, last_heard_at_))
+                : std::nullopt;
+}
+
+void PathMonitor::CheckSilence() {
+  const std::optional<Millis> since = SilentSince();
+  if (!since || path_.State() != PathState::kDirect) {
     return;
   }
-  const Millis now = base::Clock::Now();
-  const Millis silent_since = std::max(oldest, last_heard_at_);
-  if (silent_since > silent_at_ + silence_timeout_) {
+  if (*since > silent_at_ + silence_timeout_) {
     silence_timeout_ = kSilenceTimeout;
   }
-  if (now - silent_since < silence_timeout_) {
+  const Millis now = base::Clock::Now();
+  if (now - *since < silence_timeout_) {
     return;
   }
   silent_at_ = now;
@@ -287,14 +312,23 @@
 }
 
 bool PathMonitor::HasWork() const {
-  return path_.NeedsProbes() || !held_losses_.IsEmpty() || !open_sends_.empty();
+  return path_.NeedsProbes() || !held_losses_.IsEmpty() ||
+         !open_sends_.empty() || !open_connects_.empty();
 }
 
-Millis PathMonitor::Period() const {
+Millis PathMonitor::NextRunAt() {
+  const Millis now = base::Clock::Now();
   if (!held_losses_.IsEmpty() || path_.State() == PathState::kChecking) {
-    return kCheckPollPeriod;
+    return now + kCheckPollPeriod;
+  }
+  Millis next = now + (path_.NeedsProbes() ? kLostPollPeriod : kIdlePollPeriod);
+  if (const std::optional<Millis> since = SilentSince()) {
+    next = std::min(next, *since + silence_timeout_);
+  }
+  for (const auto& it : open_connects_) {
+    next = std::min(next, it.second + kSlowConnect);
   }
-  return path_.NeedsProbes() ? kLostPollPeriod : kSilencePollPeriod;
+  return std::max(next, now + kCheckPollPeriod);
 }
 
 void PathMonitor::Wake() {
@@ -307,13 +341,15 @@
 
 net::asio::awaitable<void> PathMonitor::Run() {
   while (HasWork()) {
+    CheckSlowConnects();
     CheckSilence();
     for (std::string& it : path_.TakeProbes(base::Clock::Now())) {
       net::asio::co_spawn(forwarder_->executor, Probe(std::move(it)),
                           net::asio::detached);
     }
     Update();
-    timer_.expires_after(Period().ToChrono());
+    timer_.expires_at(
+        std::chrono::steady_clock::time_point(NextRunAt().ToChrono()));
     co_await timer_.async_wait(net::kAsTuple);
   }
   is_running_ = false;
--- a/src/forward/path_monitor.h
+++ b/src/forward/path_monitor.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -89,11 +90,15 @@
   /// Breaks off the direct connects and sends to targets of the service, and
   /// closes its idle direct connections, unless they live on.
   void CloseDirectConnections(const std::string& service, base::Millis since);
+  void CheckSlowConnects();
   void CheckSilence();
+  /// Returns since when all open direct sends have had no answer, or nothing if
+  /// none is open.
+  std::optional<base::Millis> SilentSince();
   bool IsInScope(const TargetConnection& connection,
                  const std::string& service) const;
   bool HasWork() const;
-  base::Millis Period() const;
+  base::Millis NextRunAt();
 
   /// Makes Run() act at once.
   void Wake();
@@ -106,7 +111,8 @@
   /// By service; the path to all targets has an empty name.
   std::map<std::string, LostPath> lost_paths_;
   std::map<std::shared_ptr<TargetConnection>, OpenSend> open_sends_;
-  std::set<TargetConnection*> open_connects_;
+  /// Direct connects and when they began.
+  std::map<TargetConnection*, base::Millis> open_connects_;
   std::set<net::asio::steady_timer*> waiting_for_check_;
   /// When bytes last arrived from any target on a direct connection, or a
   /// direct connect succeeded.
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -41,6 +41,13 @@
     return is_write_done_ && written_bytes_ == 0;
   }
 
+  /// Closes the connection because nobody waits for the answer any more.
+  void Abandon() {
+    is_abandoned_ = true;
+    socket_.Close();
+  }
+  bool IsAbandoned() const { return is_abandoned_; }
+
   /// Number of requests sent on this connection.
   int RequestCount() const { return request_count_; }
 
@@ -72,6 +79,7 @@
   bool is_write_done_ = true;
   size_t written_bytes_ = 0;
   int request_count_ = 0;
+  bool is_abandoned_ = false;
 };
 
 }  // namespace daisypond::forward
--- a/src/forward/target_path.h
+++ b/src/forward/target_path.h
@@ -30,6 +30,8 @@
 /// What made a check of the path necessary.
 enum class PathSuspicion : uint8_t {
   kConnectFailed,
+  /// A connect takes much longer than a round trip.
+  kConnectSlow,
   kConnectionBroken,
   /// A target did not answer in time.
   kTargetSilent,
@@ -37,8 +39,9 @@
   kAllSilent,
 };
 
-inline constexpr base::NameTable<PathSuspicion, 4> kPathSuspicionNames(
+inline constexpr base::NameTable<PathSuspicion, 5> kPathSuspicionNames(
     "connect_failed",
+    "connect_slow",
     "connection_broken",
     "target_silent",
     "all_silent");
