--- a/src/forward/connect_target.cc
+++ b/src/forward/connect_target.cc
@@ -1,9 +1,9 @@
 #include "forward/connect_target.h"
 
 #include <algorithm>
-#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/log.h"
 #include "forward/exchange_limits.h"
@@ -19,6 +19,8 @@
 // Time allowed for opening a tunnel: the peer's connect to the target and a few
 // round trips.
 constexpr Millis kTunnelTimeout{500};
+// A peer that did not answer within less time is not to blame.
+constexpr Millis kMinimumTunnelTime{200};
 // A connect that was given less time than this says nothing about the path.
 constexpr Millis kMinimumConnectTime{100};
 
@@ -81,6 +83,9 @@
       forwarder->path_monitor.OnReachedThroughPeer(connection->Target());
       break;
     case tunnel::Status::kPeerUnreachable:
+      if (now - began_at < kMinimumTunnelTime && now >= deadline) {
+        break;
+      }
       forwarder->tunnel_peer_selector.OnUnreachable(peer.instance, now);
       break;
     case tunnel::Status::kRefused:
@@ -104,7 +109,7 @@
     Forwarder* forwarder,
     std::shared_ptr<TargetConnection> connection,
     Millis deadline) {
-  std::set<std::string> tried;
+  std::vector<TunnelPeer> tried;
   std::optional<ConnectStatus> result;
   for (int i = 0; i < kMaximumTunnelPeers; ++i) {
     const Millis now = base::Clock::Now();
@@ -115,7 +120,7 @@
     if (!peer || now >= deadline) {
       break;
     }
-    tried.insert(peer->instance);
+    tried.push_back(*peer);
     const tunnel::Status status =
         co_await OpenTunnel(forwarder, connection, *peer, deadline);
     if (connection->IsAbandoned()) {
@@ -128,6 +133,9 @@
       result = ConnectStatus::kUnreachable;
     }
   }
+  if (result) {
+    forwarder->path_monitor.OnUnreachableThroughPeer(connection->Target());
+  }
   co_return result;
 }
 
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -778,10 +778,15 @@
     const Millis now = Clock::Now();
     const bool may_repeat =
         route_->repeatability != catalog::Repeatability::kRunOnce;
+    const bool is_path_checked = forwarder_->path_monitor.Path().StateOf(
+                                     service_name_) == PathState::kChecking;
     std::shared_ptr<TargetConnection> connection =
-        forwarder_->connection_pool.TakeIdle(
-            placement.id,
-            may_repeat ? kMaximumIdleTime : kMaximumIdleTimeForRunOnce, now);
+        may_repeat || !is_path_checked
+            ? forwarder_->connection_pool.TakeIdle(
+                  placement.id,
+                  may_repeat ? kMaximumIdleTime : kMaximumIdleTimeForRunOnce,
+                  now)
+            : nullptr;
     if (connection != nullptr) {
       send_route_ = connection->Route();
       co_return connection;
--- a/src/forward/loss_hold.cc
+++ b/src/forward/loss_hold.cc
@@ -1,5 +1,6 @@
 #include "forward/loss_hold.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace daisypond::forward {
@@ -7,10 +8,13 @@
 using base::Millis;
 
 void LossHold::OnBytesReceived(const std::string& target, Millis now) {
-  if (target != last_heard_.target) {
+  if (target == last_heard_.target) {
+    last_heard_.at = std::max(last_heard_.at, now);
+  } else if (now > last_heard_.at) {
     last_heard_other_ = std::exchange(last_heard_, {target, now});
+  } else if (now > last_heard_other_.at) {
+    last_heard_other_ = {target, now};
   }
-  last_heard_.at = now;
 }
 
 bool LossHold::IsPathSoundAfter(const HeldLoss& loss) const {
--- a/src/forward/path_monitor.cc
+++ b/src/forward/path_monitor.cc
@@ -84,6 +84,11 @@
   path_.OnReachedThroughPeer(path_.ServiceOf(target));
 }
 
+void PathMonitor::OnUnreachableThroughPeer(const std::string& target) {
+  path_.OnUnreachableThroughPeer(target, base::Clock::Now());
+  Update();
+}
+
 void PathMonitor::OnSendBegun(
     const std::shared_ptr<TargetConnection>& connection,
     SendInterruption interruption) {
--- a/src/forward/path_monitor.h
+++ b/src/forward/path_monitor.h
@@ -48,6 +48,8 @@
 
   /// A peer has opened a tunnel to the target.
   void OnReachedThroughPeer(const std::string& target);
+  /// The peers that were asked could not connect to the target.
+  void OnUnreachableThroughPeer(const std::string& target);
 
   /// A request is being sent on the connection.
   void OnSendBegun(const std::shared_ptr<TargetConnection>& connection,
--- a/src/forward/target_path.cc
+++ b/src/forward/target_path.cc
@@ -20,6 +20,9 @@
 // After this time without a failure, earlier failures do not count.
 constexpr Millis kEvidenceLifetime{2000};
 constexpr Millis kMaximumCheckTime{450};
+// When peers could not reach so many targets either, the targets are lost.
+constexpr size_t kTargetsUntilRefuted = 2;
+constexpr Millis kRefutationPeriod{2000};
 
 bool IsInScope(const std::string& target_service, const std::string& service) {
   return service.empty() || target_service == service;
@@ -89,9 +92,34 @@
 }
 
 void TargetPath::OnReachedThroughPeer(const std::string& service) {
-  const auto it = services_.find(service);
-  if (it != services_.end() && it->second.state == PathState::kLost) {
-    it->second.is_reached_through_peer = true;
+  for (Scope* it : {&whole_, &services_[service]}) {
+    if (it->state == PathState::kLost) {
+      it->is_reached_through_peer = true;
+      it->refuted_until.reset();
+    }
+  }
+}
+
+void TargetPath::OnUnreachableThroughPeer(const std::string& target,
+                                          Millis now) {
+  const std::string service = ServiceOf(target);
+  CountUnreachable("", target, &whole_, now);
+  CountUnreachable(service, target, &services_[service], now);
+}
+
+void TargetPath::CountUnreachable(const std::string& service,
+                                  const std::string& target,
+                                  Scope* scope,
+                                  Millis now) {
+  if (scope->state != PathState::kLost || scope->is_reached_through_peer) {
+    return;
+  }
+  std::set<std::string>& unreachable = scope->unreachable_through_peers;
+  unreachable.insert(target);
+  if (unreachable.size() >=
+      std::min(kTargetsUntilRefuted, Count(service, *scope).n_targets)) {
+    scope->refuted_until = now + kRefutationPeriod;
+    unreachable.clear();
   }
 }
 
@@ -121,6 +149,8 @@
   }
   scope->last_failure_at = {INT64_MIN / 2};
   scope->is_reached_through_peer = false;
+  scope->unreachable_through_peers.clear();
+  scope->refuted_until.reset();
 }
 
 void TargetPath::Update(Millis now) {
@@ -137,6 +167,9 @@
 void TargetPath::UpdateScope(const std::string& service,
                              Scope* scope,
                              Millis now) {
+  if (scope->refuted_until && now >= *scope->refuted_until) {
+    scope->refuted_until.reset();
+  }
   if (scope->state != PathState::kChecking) {
     return;
   }
@@ -314,13 +347,13 @@
 }
 
 PathState TargetPath::StateOf(const std::string& service) const {
-  if (whole_.state == PathState::kLost) {
+  if (State() == PathState::kLost) {
     return PathState::kLost;
   }
   const auto it = services_.find(service);
   const PathState state =
-      it == services_.end() ? PathState::kDirect : it->second.state;
-  return state == PathState::kDirect ? whole_.state : state;
+      it == services_.end() ? PathState::kDirect : it->second.Effective();
+  return state == PathState::kDirect ? State() : state;
 }
 
 PathState TargetPath::StateOfTarget(const std::string& target) const {
@@ -328,11 +361,11 @@
 }
 
 bool TargetPath::IsLossExplained(const std::string& service) const {
-  if (whole_.state == PathState::kLost) {
+  if (State() == PathState::kLost) {
     return true;
   }
   const auto it = services_.find(service);
-  return it != services_.end() && it->second.state == PathState::kLost &&
+  return it != services_.end() && it->second.Effective() == PathState::kLost &&
          it->second.is_reached_through_peer;
 }
 
@@ -358,7 +391,7 @@
 std::vector<std::string> TargetPath::LostServices() const {
   std::vector<std::string> lost;
   for (const auto& it : services_) {
-    if (it.second.state == PathState::kLost) {
+    if (it.second.Effective() == PathState::kLost) {
       lost.push_back(it.first);
     }
   }
--- a/src/forward/target_path.h
+++ b/src/forward/target_path.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,10 @@
   /// A peer has reached a target of the service.
   void OnReachedThroughPeer(const std::string& service);
 
+  /// Peers could not reach the target either. After several such targets it is
+  /// assumed for a while that the targets are lost and not the path.
+  void OnUnreachableThroughPeer(const std::string& target, base::Millis now);
+
   /// Ends checks whose time is over.
   void Update(base::Millis now);
 
@@ -89,7 +94,7 @@
   std::vector<std::string> TakeProbes(base::Millis now);
 
   /// The path to all targets together.
-  PathState State() const { return whole_.state; }
+  PathState State() const { return whole_.Effective(); }
   /// The path to the targets of one service.
   PathState StateOf(const std::string& service) const;
   /// The path to the targets of the service of one target.
@@ -129,6 +134,14 @@
     size_t n_probes = 0;
     /// A peer has reached a target of the group while the path was lost.
     bool is_reached_through_peer = false;
+    /// Targets that no peer has reached while the path was lost.
+    std::set<std::string> unreachable_through_peers;
+    /// Until this time, the targets and not the path count as lost.
+    std::optional<base::Millis> refuted_until;
+
+    PathState Effective() const {
+      return refuted_until ? PathState::kDirect : state;
+    }
   };
 
   struct TargetRecord {
@@ -177,6 +190,10 @@
                       Scope* scope,
                       base::Millis now,
                       std::vector<std::string>* probes);
+  void CountUnreachable(const std::string& service,
+                        const std::string& target,
+                        Scope* scope,
+                        base::Millis now);
   void AddLostProbe(const std::string& service,
                     Scope* scope,
                     base::Millis now,
--- a/src/forward/target_path_test.cc
+++ b/src/forward/target_path_test.cc
@@ -150,6 +150,7 @@
   CPPUNIT_TEST(TestCrashOfADomainIsNoPathLoss);
   CPPUNIT_TEST(TestCrashOfAServiceLeavesThePathToOthers);
   CPPUNIT_TEST(TestServiceReachedByAPeerExplainsItsLosses);
+  CPPUNIT_TEST(TestPeersThatReachNothingRefuteALostPath);
   CPPUNIT_TEST(TestFlappingTargetCausesNoProbeStorm);
   CPPUNIT_TEST(TestFewTargetsMustAllFail);
   CPPUNIT_TEST(TestCutFromSomeTargetsIsNoPathLoss);
@@ -254,6 +255,29 @@
     EXPECT(!simulation_.path.IsLossExplained("b"));
   }
 
+  void TestPeersThatReachNothingRefuteALostPath() {
+    simulation_.SetReach(Reach::kRefuses);
+    EXPECT(simulation_.PlayUntil({4000}, PathState::kLost, ""));
+    simulation_.path.OnUnreachableThroughPeer("a0", simulation_.now);
+    simulation_.path.OnUnreachableThroughPeer("a0", simulation_.now);
+    EXPECT(simulation_.path.State() == PathState::kLost);
+    simulation_.path.OnUnreachableThroughPeer("a1", simulation_.now);
+    EXPECT(simulation_.path.State() == PathState::kDirect);
+    EXPECT(!simulation_.path.IsLossExplained("a"));
+    simulation_.has_requests = false;
+    simulation_.n_probes = 0;
+    EXPECT_EQ(0, simulation_.Play(simulation_.now + Millis{1900}));
+    EXPECT(simulation_.n_probes >= 3 && simulation_.n_probes <= 5);
+    EXPECT_EQ(1, simulation_.Play(simulation_.now + Millis{1000}));
+    simulation_.path.OnReachedThroughPeer("b");
+    simulation_.path.OnUnreachableThroughPeer("a0", simulation_.now);
+    simulation_.path.OnUnreachableThroughPeer("a1", simulation_.now);
+    EXPECT(simulation_.path.State() == PathState::kLost);
+    simulation_.SetReach(Reach::kAnswers);
+    EXPECT(simulation_.PlayUntil(simulation_.now + Millis{1000},
+                                 PathState::kDirect, ""));
+  }
+
   void TestFlappingTargetCausesNoProbeStorm() {
     const auto is_flapping = [](const catalog::Target& target) {
       return target.id == "a3";
--- a/src/forward/tunnel_peer_selector.h
+++ b/src/forward/tunnel_peer_selector.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -27,10 +26,11 @@
   explicit TunnelPeerSelector(uint64_t seed) : random_(seed) {}
 
   /// Returns the peer through which the next tunnel should be opened, or
-  /// nothing if there is none. `excluded` are peers that the request has tried.
+  /// nothing if there is none. `tried` are the peers that did not open it; one
+  /// of another failure domain than theirs is preferred.
   std::optional<TunnelPeer> Choose(const std::vector<TunnelPeer>& peers,
                                    const std::string& failure_domain,
-                                   const std::set<std::string>& excluded,
+                                   const std::vector<TunnelPeer>& tried,
                                    base::Millis now);
 
   /// Returns the name of the peer. The tunnel counts as open as long as the
--- a/src/forward/tunnel_peer_selector_test.cc
+++ b/src/forward/tunnel_peer_selector_test.cc
@@ -25,7 +25,7 @@
   CPPUNIT_TEST(TestOtherDomainWhenOwnHasLostItsPath);
   CPPUNIT_TEST(TestPeerThatRefusedIsAvoidedForAWhile);
   CPPUNIT_TEST(TestSilentPeerIsExcludedForAWhile);
-  CPPUNIT_TEST(TestTriedPeersAreExcluded);
+  CPPUNIT_TEST(TestTriedPeersAreExcludedAndTheirDomainAvoided);
   CPPUNIT_TEST(TestOpenTunnelsAreSpread);
   CPPUNIT_TEST(TestInstancesSpreadOverPeers);
   CPPUNIT_TEST_SUITE_END();
@@ -75,11 +75,14 @@
     EXPECT(selector.Choose({kPeers[0]}, "a", {}, {1000}).has_value());
   }
 
-  void TestTriedPeersAreExcluded() {
+  void TestTriedPeersAreExcludedAndTheirDomainAvoided() {
     TunnelPeerSelector selector(1);
+    EXPECT_EQ(std::string("b"),
+              selector.Choose(kPeers, "a", {kPeers[0]}, {0})->failure_domain);
     EXPECT_EQ(std::string("a2"),
-              selector.Choose(kPeers, "a", {"a1"}, {0})->instance);
-    EXPECT(!selector.Choose(kPeers, "a", {"a1", "a2", "b1", "b2"}, {0}));
+              selector.Choose({kPeers[0], kPeers[1]}, "a", {kPeers[0]}, {0})
+                  ->instance);
+    EXPECT(!selector.Choose(kPeers, "a", kPeers, {0}));
   }
 
   void TestOpenTunnelsAreSpread() {
