--- a/src/forward/tunnel_peer_selector_test.cc
+++ b/src/forward/tunnel_peer_selector_test.cc
@@ -12,8 +12,6 @@
 
 namespace {
 
-using base::Millis;
-
 const std::vector<TunnelPeer> kPeers = {{"a1", "a", "", true},
                                         {"a2", "a", "", true},
                                         {"b1", "b", "", true},
@@ -88,6 +86,7 @@
   void TestOpenTunnelsAreSpread() {
     TunnelPeerSelector selector(1);
     std::vector<std::shared_ptr<const std::string>> open;
+    open.reserve(20);
     for (int i = 0; i < 20; ++i) {
       open.push_back(selector.OnTunnelBegun(
           selector.Choose(kPeers, "a", {}, {0})->instance));
