Count new connections that are reset against the path

A cut may accept connections and reset them at once. A connect alone then shows nothing. It counts when bytes have arrived on the connection, or for a probe when no reset has followed; a reset counts as a failed connect while nothing arrives from other targets, as it does when targets have too many connections.

--- a/src/forward/connect_target.cc
+++ b/src/forward/connect_target.cc
@@ -36,7 +36,7 @@
       connection->Address(), std::min(began_at + kConnectTimeout, deadline));
   monitor.OnConnectEnded(connection.get());
   if (!ec) {
-    monitor.OnConnected(connection->Target());
+    connection->connected_at = base::Clock::Now();
     co_return ConnectStatus::kConnected;
   }
   if (connection->IsAbandoned()) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -756,7 +756,10 @@
                         ? SendInterruption::kForbidden
                         : SendInterruption::kAllowed);
     SendResult result = co_await ReadAnswer(placement, connection);
-    forwarder_->path_monitor.OnSendEnded(connection);
+    forwarder_->path_monitor.OnSendEnded(
+        connection, result.reason == base::Reason::kTargetBroken
+                        ? ReadStatus::kBroken
+                        : ReadStatus::kDone);
     if (!result.finished && connection->Socket().Raw().is_open() &&
         result.outcome == SendOutcome::kUnknown) {
       if (connection->HasWrittenNothing() && connection->IsWriteDone()) {
--- a/src/forward/path_monitor.cc
+++ b/src/forward/path_monitor.cc
@@ -28,6 +28,8 @@
 // Bytes that arrive within this time of the first failure may have been sent
 // before the path was lost.
 constexpr Millis kFlightTime{50};
+// How long a probe waits for a reset of its connection.
+constexpr Millis kResetDelay{20};
 
 }  // namespace
 
@@ -50,11 +52,41 @@
   open_connects_.erase(connection);
 }
 
-void PathMonitor::OnConnected(const std::string& target) {
-  const Millis now = base::Clock::Now();
-  last_heard_at_ = now;
-  path_.OnConnected(target, now);
+void PathMonitor::OnConnected(const std::string& target, Millis connected_at) {
+  last_heard_at_ = std::max(last_heard_at_, connected_at);
+  path_.OnConnected(target, connected_at);
+  Update();
+}
+
+void PathMonitor::OnConnectionReset(const std::string& target) {
+  Suspect(target, PathSuspicion::kConnectionBroken);
+  path_.OnConnectionReset(target, base::Clock::Now());
   Update();
+  Wake();
+}
+
+void PathMonitor::OnAnswerRead(const TargetConnection& connection,
+                               ReadStatus status) {
+  if (connection.Route() != ConnectionRoute::kDirect) {
+    return;
+  }
+  if (connection.HasBeenHeard()) {
+    RecordBytes(connection);
+  } else if (status == ReadStatus::kBroken && connection.RequestCount() == 1) {
+    OnConnectionReset(connection.Target());
+  }
+}
+
+void PathMonitor::RecordBytes(const TargetConnection& connection) {
+  if (connection.Route() != ConnectionRoute::kDirect ||
+      !connection.HasBeenHeard()) {
+    return;
+  }
+  const std::string& target = connection.Target();
+  last_heard_at_ = std::max(last_heard_at_, connection.last_heard_at);
+  held_losses_.OnBytesReceived(target, connection.last_heard_at);
+  path_.OnBytesReceived(target, connection.last_heard_at);
+  path_.OnConnected(target, connection.connected_at);
 }
 
 void PathMonitor::OnConnectFailed(const std::string& target) {
@@ -99,13 +131,10 @@
 }
 
 void PathMonitor::OnSendEnded(
-    const std::shared_ptr<TargetConnection>& connection) {
+    const std::shared_ptr<TargetConnection>& connection,
+    ReadStatus status) {
   open_sends_.erase(connection);
-  if (connection->Route() == ConnectionRoute::kDirect) {
-    last_heard_at_ = std::max(last_heard_at_, connection->last_heard_at);
-    held_losses_.OnBytesReceived(connection->Target(),
-                                 connection->last_heard_at);
-  }
+  OnAnswerRead(*connection, status);
 }
 
 void PathMonitor::OnLossFound(const TargetLoss& target,
@@ -249,9 +278,7 @@
 
 void PathMonitor::SettleLosses() {
   for (const auto& it : open_sends_) {
-    if (it.first->Route() == ConnectionRoute::kDirect) {
-      held_losses_.OnBytesReceived(it.first->Target(), it.first->last_heard_at);
-    }
+    RecordBytes(*it.first);
   }
   const SettledLosses settled =
       held_losses_.TakeSettled(path_, base::Clock::Now());
@@ -376,7 +403,14 @@
     OnConnectFailed(target);
     co_return;
   }
-  OnConnected(target);
+  connection->connected_at = base::Clock::Now();
+  net::asio::steady_timer timer(forwarder_->executor, kResetDelay.ToChrono());
+  co_await timer.async_wait(net::kAsTuple);
+  if (connection->Socket().HasInputOrIsClosed()) {
+    OnConnectionReset(target);
+    co_return;
+  }
+  OnConnected(target, connection->connected_at);
   connection->Socket().SetTcpOptions(
       net::DeadPeerDetection::kUnacknowledgedDataOnly);
   ReturnIdle(connection);
--- a/src/forward/path_monitor.h
+++ b/src/forward/path_monitor.h
@@ -15,6 +15,7 @@
 #include "forward/connection_route.h"
 #include "forward/loss_hold.h"
 #include "forward/request_content.h"
+#include "forward/response_reader.h"
 #include "forward/target_connection.h"
 #include "forward/target_loss.h"
 #include "forward/target_path.h"
@@ -43,8 +44,10 @@
   /// cancelled when the path is lost meanwhile.
   void OnConnectBegun(TargetConnection* connection);
   void OnConnectEnded(TargetConnection* connection);
-  void OnConnected(const std::string& target);
   void OnConnectFailed(const std::string& target);
+  /// The answer to a call of this instance itself has been read, or has not
+  /// arrived.
+  void OnAnswerRead(const TargetConnection& connection, ReadStatus status);
 
   /// A peer has opened a tunnel to the target.
   void OnReachedThroughPeer(const std::string& target);
@@ -54,7 +57,9 @@
   /// A request is being sent on the connection.
   void OnSendBegun(const std::shared_ptr<TargetConnection>& connection,
                    SendInterruption interruption);
-  void OnSendEnded(const std::shared_ptr<TargetConnection>& connection);
+  /// The send has ended; `status` is that of the last read.
+  void OnSendEnded(const std::shared_ptr<TargetConnection>& connection,
+                   ReadStatus status);
 
   /// This instance has found a target lost on a connection of `route`.
   void OnLossFound(const TargetLoss& target,
@@ -82,6 +87,10 @@
     int64_t n_explained_losses = 0;
   };
 
+  void OnConnected(const std::string& target, base::Millis connected_at);
+  void OnConnectionReset(const std::string& target);
+  /// Records the bytes that have arrived on a direct connection.
+  void RecordBytes(const TargetConnection& connection);
   void Suspect(const std::string& target, PathSuspicion reason);
   /// Applies the state of the path. To be called after each change.
   void Update();
--- a/src/forward/target_call.cc
+++ b/src/forward/target_call.cc
@@ -37,6 +37,7 @@
          answer.body.size() < kMaximumAnswerBytes) {
     status = co_await reader.ReadBodyPart(&answer.body, deadline);
   }
+  forwarder->path_monitor.OnAnswerRead(*connection, status);
   if (status != ReadStatus::kDone) {
     connection->Socket().Close();
     co_return std::nullopt;
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -56,6 +56,8 @@
                                   : ConnectionRoute::kTunnel;
   }
 
+  bool HasBeenHeard() const { return last_heard_at.count > INT64_MIN / 2; }
+
   /// The way to the target, for log lines.
   std::string Via() const {
     return tunnel_peer == nullptr ? "direct" : *tunnel_peer;
@@ -63,6 +65,8 @@
 
   /// Name of the peer that relays the bytes; null for a direct connection.
   std::shared_ptr<const std::string> tunnel_peer;
+  /// When the direct connection was opened.
+  base::Millis connected_at{INT64_MIN / 2};
   /// When bytes last arrived.
   base::Millis last_heard_at{INT64_MIN / 2};
   /// How long the target keeps this connection open while it is idle.
--- a/src/forward/target_path.cc
+++ b/src/forward/target_path.cc
@@ -20,6 +20,11 @@
 // After this time without a failure, earlier failures do not count.
 constexpr Millis kEvidenceLifetime{2000};
 constexpr Millis kMaximumCheckTime{450};
+// How long bytes from other targets are awaited when connections were reset.
+constexpr Millis kResetPatience{200};
+// Bytes that arrive within this time of the first failure may have been sent
+// before the path was lost.
+constexpr Millis kFlightTime{50};
 // When peers could not reach so many targets either, the targets are lost.
 constexpr size_t kTargetsUntilRefuted = 2;
 constexpr Millis kRefutationPeriod{2000};
@@ -47,20 +52,51 @@
   }
 }
 
-void TargetPath::OnConnected(const std::string& target, Millis now) {
+void TargetPath::OnConnected(const std::string& target, Millis connected_at) {
   const auto it = targets_.find(target);
   if (it == targets_.end()) {
     return;
   }
-  it->second.connected_at = now;
+  it->second.connected_at = std::max(it->second.connected_at, connected_at);
   it->second.is_probed = false;
-  if (whole_.state == PathState::kLost) {
+  const bool is_recent = connected_at >= whole_.suspected_since;
+  if (whole_.state == PathState::kLost && is_recent) {
     for (auto& service : services_) {
-      Restore(&service.second, now);
+      Restore(&service.second, connected_at);
     }
   }
-  Restore(&whole_, now);
-  Restore(&services_[it->second.service], now);
+  if (is_recent) {
+    Restore(&whole_, connected_at);
+  }
+  Scope& service = services_[it->second.service];
+  if (connected_at >= service.suspected_since) {
+    Restore(&service, connected_at);
+  }
+}
+
+void TargetPath::OnConnectionReset(const std::string& target, Millis now) {
+  const auto it = targets_.find(target);
+  if (it == targets_.end()) {
+    return;
+  }
+  it->second.reset_at = now;
+  it->second.is_probed = false;
+  OnSuspicion(target, PathSuspicion::kConnectionBroken, now);
+}
+
+void TargetPath::OnBytesReceived(const std::string& target, Millis now) {
+  const auto it = targets_.find(target);
+  if (it != targets_.end()) {
+    it->second.heard_at = std::max(it->second.heard_at, now);
+  }
+}
+
+bool TargetPath::HasHeard(const std::string& service,
+                          const Scope& scope) const {
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
+    return IsInScope(it.second.service, service) &&
+           it.second.heard_at >= scope.suspected_since + kFlightTime;
+  });
 }
 
 void TargetPath::OnConnectFailed(const std::string& target, Millis now) {
@@ -174,11 +210,15 @@
     return;
   }
   const Census census = Count(service, *scope);
+  const bool has_proof =
+      census.ShowsLoss() && census.n_pending_probes == 0 &&
+      (census.n_reset == 0 || now >= scope->suspected_since + kResetPatience);
   const bool is_waiting =
       now < scope->check_began_at + kMaximumCheckTime &&
-      (census.n_pending_probes > 0 || now < scope->check_began_at ||
+      (census.ShowsLoss() || census.n_pending_probes > 0 ||
+       now < scope->check_began_at ||
        (scope->n_probes < kMaximumCheckProbes && ChooseProbe(service, *scope)));
-  if (census.ShowsLoss() && census.n_pending_probes == 0) {
+  if (has_proof) {
     EndCheck(scope, PathState::kLost, now);
   } else if (!is_waiting) {
     EndCheck(scope, PathState::kDirect, now);
@@ -188,6 +228,7 @@
 TargetPath::Census TargetPath::Count(const std::string& service,
                                      const Scope& scope) const {
   Census census;
+  const bool has_heard = HasHeard(service, scope);
   std::set<std::string> domains;
   std::set<std::string> failed_domains;
   std::set<std::string> services;
@@ -204,8 +245,11 @@
     ++census.n_targets;
     domains.insert(record.failure_domain);
     services.insert(record.service);
-    if (record.HasFailedSince(scope.suspected_since)) {
+    const bool is_reset_only = record.failed_at < scope.suspected_since;
+    if (record.HasFailedSince(scope.suspected_since) &&
+        !(is_reset_only && has_heard)) {
       ++census.n_failed;
+      census.n_reset += is_reset_only ? 1 : 0;
       failed_domains.insert(record.failure_domain);
       failed_services.insert(record.service);
     }
--- a/src/forward/target_path.h
+++ b/src/forward/target_path.h
@@ -68,8 +68,17 @@
   /// Replaces the list of targets. What is known of targets that stay is kept.
   void Configure(const catalog::Targets& targets);
 
-  /// A direct connection to the target was opened, by a request or a probe.
-  void OnConnected(const std::string& target, base::Millis now);
+  /// A direct connection to the target was opened at `connected_at`, and the
+  /// target has sent bytes on it or at least not reset it.
+  void OnConnected(const std::string& target, base::Millis connected_at);
+
+  /// A new direct connection to the target was reset before it carried any
+  /// byte. A target that has too many connections does so as well; this counts
+  /// as a failed connect only while nothing arrives on other connections.
+  void OnConnectionReset(const std::string& target, base::Millis now);
+
+  /// Bytes arrived from the target on any direct connection.
+  void OnBytesReceived(const std::string& target, base::Millis now);
 
   /// A direct connect to the target failed or timed out.
   void OnConnectFailed(const std::string& target, base::Millis now);
@@ -150,12 +159,16 @@
     bool is_leaving = false;
     base::Millis connected_at{INT64_MIN / 2};
     base::Millis failed_at{INT64_MIN / 2};
+    /// When a new connection was last reset.
+    base::Millis reset_at{INT64_MIN / 2};
+    base::Millis heard_at{INT64_MIN / 2};
     base::Millis probed_at{INT64_MIN / 2};
     bool is_probed = false;
 
-    /// True when the last connect failed, not before `time`.
+    /// True when the last connect failed or was reset, not before `time`.
     bool HasFailedSince(base::Millis time) const {
-      return failed_at >= time && failed_at > connected_at;
+      return (failed_at >= time && failed_at > connected_at) ||
+             (reset_at >= time && reset_at > connected_at);
     }
   };
 
@@ -163,6 +176,8 @@
   struct Census {
     size_t n_targets = 0;
     size_t n_failed = 0;
+    /// Those of them that accepted a connection and reset it.
+    size_t n_reset = 0;
     size_t n_pending_probes = 0;
     size_t n_domains = 0;
     size_t n_failed_domains = 0;
@@ -181,6 +196,9 @@
   /// `service` is empty for all targets.
   void UpdateScope(const std::string& service, Scope* scope, base::Millis now);
   Census Count(const std::string& service, const Scope& scope) const;
+  /// True when bytes from targets of the scope have arrived since the failures
+  /// began.
+  bool HasHeard(const std::string& service, const Scope& scope) const;
   /// Number of probes that the check may have begun by now.
   static size_t AllowedProbes(const Scope& scope,
                               const Census& census,
--- a/src/forward/target_path_test.cc
+++ b/src/forward/target_path_test.cc
@@ -22,7 +22,7 @@
 constexpr Millis kRequestPeriod{100};
 
 /// What becomes of a direct connect.
-enum class Reach : uint8_t { kAnswers, kRefuses, kHangs };
+enum class Reach : uint8_t { kAnswers, kRefuses, kHangs, kResets };
 
 /// Plays connects of requests and probes to targets in virtual time. A request
 /// connects to one target after the other every kRequestPeriod, as long as the
@@ -92,7 +92,7 @@
   struct Connect {
     std::string target;
     Millis ends_at;
-    bool is_successful = false;
+    Reach reach = Reach::kAnswers;
   };
 
   void Step() {
@@ -101,8 +101,10 @@
     for (const Connect& it : pending) {
       if (it.ends_at > now) {
         connects_.push_back(it);
-      } else if (it.is_successful) {
+      } else if (it.reach == Reach::kAnswers) {
         path.OnConnected(it.target, now);
+      } else if (it.reach == Reach::kResets) {
+        path.OnConnectionReset(it.target, now);
       } else {
         path.OnConnectFailed(it.target, now);
       }
@@ -131,7 +133,7 @@
     const Reach reach = it == reach_.end() ? Reach::kAnswers : it->second;
     connects_.push_back(
         {target, now + (reach == Reach::kHangs ? kConnectTimeout : kRoundTrip),
-         reach == Reach::kAnswers});
+         reach});
   }
 
   catalog::Targets targets_;
@@ -144,6 +146,8 @@
   CPPUNIT_TEST_SUITE(TargetPathTest);
   CPPUNIT_TEST(TestHangingCutIsNoticedWithinASecond);
   CPPUNIT_TEST(TestRefusingCutIsNoticedAtOnce);
+  CPPUNIT_TEST(TestCutThatResetsNewConnectionsIsNoticed);
+  CPPUNIT_TEST(TestFullTargetsThatResetConnectionsAreNoPathLoss);
   CPPUNIT_TEST(TestCutIsNoticedBySilenceAlone);
   CPPUNIT_TEST(TestPathIsBackWithinASecondWithoutABurst);
   CPPUNIT_TEST(TestLostPathIsProbedSlowly);
@@ -180,6 +184,24 @@
     EXPECT(simulation_.n_probes <= 3);
   }
 
+  void TestCutThatResetsNewConnectionsIsNoticed() {
+    simulation_.SetReach(Reach::kResets);
+    EXPECT(simulation_.PlayUntil({3500}, PathState::kLost, ""));
+    EXPECT_EQ(1, simulation_.Play({8000}));
+    simulation_.SetReach(Reach::kAnswers);
+    EXPECT(simulation_.PlayUntil({9000}, PathState::kDirect, ""));
+  }
+
+  void TestFullTargetsThatResetConnectionsAreNoPathLoss() {
+    simulation_.SetReach(Reach::kResets);
+    while (simulation_.now < Millis{8000}) {
+      // Kept connections go on.
+      simulation_.path.OnBytesReceived("a1", simulation_.now);
+      simulation_.path.OnBytesReceived("b1", simulation_.now);
+      EXPECT_EQ(0, simulation_.Play(simulation_.now + kStep, "a"));
+    }
+  }
+
   void TestCutIsNoticedBySilenceAlone() {
     simulation_.has_requests = false;
     simulation_.SetReach(Reach::kHangs);
