--- a/src/forward/cut_path_test.cc
+++ b/src/forward/cut_path_test.cc
@@ -106,6 +106,34 @@
   int fillers_[4] = {-1, -1, -1, -1};
 };
 
+/// An address that accepts connections and resets them.
+class ResettingAddress {
+ public:
+  ResettingAddress() : listener_(BindLoopback()) {
+    listen(listener_, 16);
+    thread_ = std::thread([this] {
+      for (int fd = accept(listener_, nullptr, nullptr); fd >= 0;
+           fd = accept(listener_, nullptr, nullptr)) {
+        LoopbackConnection(fd).ResetOnClose();
+        close(fd);
+      }
+    });
+  }
+  ~ResettingAddress() {
+    shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    close(listener_);
+  }
+  ResettingAddress(const ResettingAddress&) = delete;
+  ResettingAddress& operator=(const ResettingAddress&) = delete;
+
+  std::string Address() const { return AddressOf(listener_); }
+
+ private:
+  int listener_;
+  std::thread thread_;
+};
+
 /// An io_context with a thread of its own.
 class Loop {
  public:
@@ -254,6 +282,7 @@
   CPPUNIT_TEST_SUITE(CutPathTest);
   CPPUNIT_TEST(TestRequestsAreServedThroughAPeerWhileConnectsAreRefused);
   CPPUNIT_TEST(TestRequestsAreServedThroughAPeerWhileConnectsHang);
+  CPPUNIT_TEST(TestRequestsAreServedThroughAPeerWhileConnectionsAreReset);
   CPPUNIT_TEST(TestPathIsDirectAgainAfterTheCut);
   CPPUNIT_TEST(TestOpenRequestMovesToAPeerWhenItsConnectionHangs);
   CPPUNIT_TEST(TestWithoutPeersRequestsAreRefused);
@@ -304,6 +333,16 @@
     EXPECT_EQ(0, instance_->n_reported.load());
   }
 
+  void TestRequestsAreServedThroughAPeerWhileConnectionsAreReset() {
+    const ResettingAddress resetting;
+    ApplyAddress(resetting.Address());
+    EXPECT(instance_->Request("GET", "/safe/a", "body")
+               .starts_with("HTTP/1.1 200 "));
+    ExpectAllServed();
+    EXPECT_EQ(1, instance_->n_lost.load());
+    EXPECT_EQ(0, instance_->n_reported.load());
+  }
+
   void TestPathIsDirectAgainAfterTheCut() {
     const HangingAddress hanging;
     ApplyAddress(hanging.Address());
--- a/src/forward/loss_hold_test.cc
+++ b/src/forward/loss_hold_test.cc
@@ -68,7 +68,7 @@
     path_ = TargetPath();
     path_.Configure(MakeTargets());
     hold_ = LossHold();
-    path_.OnSuspicion(TargetId(0), PathSuspicion::kConnectionBroken, {1000});
+    path_.OnSuspicion(TargetId(0), {1000});
   }
 
   void TestLossIsConfirmedWhenAnotherTargetAnswers() {
@@ -124,8 +124,7 @@
         }
         if (now.count % 250 == 0) {
           const int target = (i + static_cast<int>(now.count) / 250) % kTargets;
-          cut.path.OnSuspicion(TargetId(target),
-                               PathSuspicion::kConnectionBroken, now);
+          cut.path.OnSuspicion(TargetId(target), now);
           cut.hold.Add(
               {LossOf(target), content, LossKind::kRequestFailed, now});
           unprotected.OnTargetLost(content, LossOf(target), now);
--- a/src/forward/path_monitor.cc
+++ b/src/forward/path_monitor.cc
@@ -59,7 +59,7 @@
 }
 
 void PathMonitor::OnConnectionReset(const std::string& target) {
-  Suspect(target, PathSuspicion::kConnectionBroken);
+  Suspect(target, PathSuspicion::kRequestFailed);
   path_.OnConnectionReset(target, base::Clock::Now());
   Update();
   Wake();
@@ -67,7 +67,8 @@
 
 void PathMonitor::OnAnswerRead(const TargetConnection& connection,
                                ReadStatus status) {
-  if (connection.Route() != ConnectionRoute::kDirect) {
+  if (connection.Route() != ConnectionRoute::kDirect ||
+      connection.IsAbandoned()) {
     return;
   }
   if (connection.HasBeenHeard()) {
@@ -104,7 +105,7 @@
 
 void PathMonitor::Suspect(const std::string& target, PathSuspicion reason) {
   const bool is_first = path_.StateOfTarget(target) == PathState::kDirect;
-  path_.OnSuspicion(target, reason, base::Clock::Now());
+  path_.OnSuspicion(target, base::Clock::Now());
   if (is_first) {
     base::Log(
         base::LogLevel::kInfo, "path_check",
@@ -146,7 +147,7 @@
     return;
   }
   if (kind == LossKind::kRequestFailed) {
-    Suspect(target.process.id, PathSuspicion::kConnectionBroken);
+    Suspect(target.process.id, PathSuspicion::kRequestFailed);
   }
   held_losses_.Add({target, content, kind, base::Clock::Now()});
   Update();
--- a/src/forward/path_monitor.h
+++ b/src/forward/path_monitor.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/clock.h"
+#include "base/name_table.h"
 #include "forward/connection_route.h"
 #include "forward/loss_hold.h"
 #include "forward/request_content.h"
@@ -24,6 +25,23 @@
 
 struct Forwarder;
 
+/// What made a check of the path necessary.
+enum class PathSuspicion : uint8_t {
+  kConnectFailed,
+  /// A connect takes much longer than a round trip.
+  kConnectSlow,
+  /// A connection broke, or a target did not answer.
+  kRequestFailed,
+  /// No target has sent anything for a while, although requests are open.
+  kAllSilent,
+};
+
+inline constexpr base::NameTable<PathSuspicion, 4> kPathSuspicionNames(
+    "connect_failed",
+    "connect_slow",
+    "request_failed",
+    "all_silent");
+
 /// Whether a send may be broken off when the path to its target is lost.
 enum class SendInterruption : uint8_t { kAllowed, kForbidden };
 
--- a/src/forward/target_path.cc
+++ b/src/forward/target_path.cc
@@ -81,7 +81,7 @@
   }
   it->second.reset_at = now;
   it->second.is_probed = false;
-  OnSuspicion(target, PathSuspicion::kConnectionBroken, now);
+  OnSuspicion(target, now);
 }
 
 void TargetPath::OnBytesReceived(const std::string& target, Millis now) {
@@ -106,12 +106,10 @@
   }
   it->second.failed_at = now;
   it->second.is_probed = false;
-  OnSuspicion(target, PathSuspicion::kConnectFailed, now);
+  OnSuspicion(target, now);
 }
 
-void TargetPath::OnSuspicion(const std::string& target,
-                             PathSuspicion /*reason*/,
-                             Millis now) {
+void TargetPath::OnSuspicion(const std::string& target, Millis now) {
   const auto it = targets_.find(target);
   if (it == targets_.end()) {
     Suspect(&whole_, target, now);
--- a/src/forward/target_path.h
+++ b/src/forward/target_path.h
@@ -28,25 +28,6 @@
                                                                "checking",
                                                                "lost");
 
-/// What made a check of the path necessary.
-enum class PathSuspicion : uint8_t {
-  kConnectFailed,
-  /// A connect takes much longer than a round trip.
-  kConnectSlow,
-  kConnectionBroken,
-  /// A target did not answer in time.
-  kTargetSilent,
-  /// No target has sent anything for a while, although requests are open.
-  kAllSilent,
-};
-
-inline constexpr base::NameTable<PathSuspicion, 5> kPathSuspicionNames(
-    "connect_failed",
-    "connect_slow",
-    "connection_broken",
-    "target_silent",
-    "all_silent");
-
 /// Decides from the outcome of direct connects whether this instance has lost
 /// its path to all targets, or to all targets of a service, while it may still
 /// be able to reach them through a peer. A failure starts a check: probes,
@@ -83,10 +64,9 @@
   /// A direct connect to the target failed or timed out.
   void OnConnectFailed(const std::string& target, base::Millis now);
 
-  /// A direct connection to the target broke, or the target was silent.
-  void OnSuspicion(const std::string& target,
-                   PathSuspicion reason,
-                   base::Millis now);
+  /// A direct connection to the target broke, or the target was silent. If
+  /// `target` is empty, nothing is heard from any target.
+  void OnSuspicion(const std::string& target, base::Millis now);
 
   /// A peer has reached a target of the service.
   void OnReachedThroughPeer(const std::string& service);
--- a/src/forward/target_path_test.cc
+++ b/src/forward/target_path_test.cc
@@ -206,8 +206,7 @@
     simulation_.has_requests = false;
     simulation_.SetReach(Reach::kHangs);
     EXPECT_EQ(0, simulation_.Play({5000}));
-    simulation_.path.OnSuspicion("", PathSuspicion::kAllSilent,
-                                 simulation_.now);
+    simulation_.path.OnSuspicion("", simulation_.now);
     EXPECT(simulation_.PlayUntil({5400}, PathState::kLost, ""));
   }
 
@@ -343,8 +342,7 @@
   void TestRemovedTargetsDoNotCount() {
     simulation_.path.Configure({});
     simulation_.path.OnConnectFailed("a0", simulation_.now);
-    simulation_.path.OnSuspicion("", PathSuspicion::kAllSilent,
-                                 simulation_.now);
+    simulation_.path.OnSuspicion("", simulation_.now);
     simulation_.has_requests = false;
     EXPECT_EQ(0, simulation_.Play({5000}));
     EXPECT_EQ(0, simulation_.n_probes);
