Limit the socket buffers of tunnels and free a slot before the answer 502

A slow reader made the sending socket buffer grow to 4 MB (trial: 4,161,536 bytes taken from the target; limit in the test now 1 MB). The slot of a tunnel whose target refused was freed after the answer, which the test of it saw in 2 of 60 runs with sanitizers. Tunnel tests with address and undefined sanitizers: 29 of 30 runs pass, one failed in TestBytesAfterASplitAnswerAreKept, not explained yet.

--- a/src/tunnel/client.cc
+++ b/src/tunnel/client.cc
@@ -80,10 +80,10 @@
                        ConnectRequest request,
                        base::Millis deadline) {
   const std::optional<std::string> text = FormatRequest(request);
-  if (!text) {
-    co_return Status::kRefused;
+  Status status = Status::kRefused;
+  if (text) {
+    status = co_await Connect(socket, peer_address, *text, deadline);
   }
-  const Status status = co_await Connect(socket, peer_address, *text, deadline);
   if (status == Status::kOpen) {
     socket->ClearDeadline();
   } else {
--- a/src/tunnel/client.h
+++ b/src/tunnel/client.h
@@ -13,9 +13,10 @@
 namespace daisypond::tunnel {
 
 /// Opens a connection to a target through the peer that accepts tunnels at
-/// `peer_address` ("IP:PORT"). `socket` must be closed and must outlive the
-/// call. On kOpen, it carries the target's bytes as a direct connection would.
-/// On any other status, it is closed and the target has received no bytes.
+/// `peer_address` ("IP:PORT"). `socket` must not be connected and must outlive
+/// the call. On kOpen, it carries the target's bytes as a direct connection
+/// would. On any other status, it is closed and the target has received no
+/// bytes.
 net::asio::awaitable<Status> Open(net::TimedSocket* socket,
                                   std::string peer_address,
                                   ConnectRequest request,
--- a/src/tunnel/handshake_test.cc
+++ b/src/tunnel/handshake_test.cc
@@ -154,20 +154,25 @@
   }
 
   void TestRandomBytesAreHandled() {
-    EXPECT(rc::check(
-        "no input is read beyond its limits",
-        [](const std::string& tail, const std::string& value) {
-          const std::string text = kRequest;
-          const size_t n = *rc::gen::inRange<size_t>(0, text.size());
-          const std::string bytes =
-              text.substr(0, n) + value + text.substr(n) + tail;
-          const auto it = ParseRequest(bytes);
-          RC_ASSERT(!it || it->size <= kMaximumHandshakeBytes);
-          RC_ASSERT(!it || it->size <= bytes.size());
-          RC_ASSERT(!it || FormatRequest(it->request));
-          const auto answer = ParseAnswer("HTTP/1.1 " + value + tail);
-          RC_ASSERT(!answer || answer->size <= kMaximumHandshakeBytes);
-        }));
+    EXPECT(rc::check("no input is read beyond its limits",
+                     [](const std::string& tail, const std::string& value) {
+                       const std::string text = kRequest;
+                       const size_t n =
+                           *rc::gen::inRange<size_t>(0, text.size());
+                       const std::string bytes =
+                           text.substr(0, n) + value + text.substr(n) + tail;
+                       const auto it = ParseRequest(bytes);
+                       if (it) {
+                         RC_ASSERT(it->size <= kMaximumHandshakeBytes);
+                         RC_ASSERT(it->size <= bytes.size());
+                         RC_ASSERT(FormatRequest(it->request).has_value());
+                       }
+                       const auto answer =
+                           ParseAnswer("HTTP/1.1 " + value + tail);
+                       if (answer) {
+                         RC_ASSERT(answer->size <= kMaximumHandshakeBytes);
+                       }
+                     }));
   }
 };
 
--- a/src/tunnel/server.cc
+++ b/src/tunnel/server.cc
@@ -23,16 +23,17 @@
 // Connections beyond this number whose request has not arrived yet are reset.
 constexpr size_t kMaximumHandshakes = 128;
 constexpr base::Millis kAcceptRetryDelay{50};
-// Receive buffer of each socket. Bounds what the system holds for a tunnel
-// whose other side reads slowly.
-constexpr int kReceiveBufferBytes = 64 << 10;
+// Receive and send buffer of each socket. Bounds what the system holds for a
+// tunnel whose other side reads slowly.
+constexpr int kSocketBufferBytes = 64 << 10;
 
 template <typename Socket>
-void LimitReceiveBuffer(Socket& socket) {
+void LimitSocketBuffers(Socket& socket) {
   net::ErrorCode ignored;
   socket.set_option(
-      net::asio::socket_base::receive_buffer_size(kReceiveBufferBytes),
-      ignored);
+      net::asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
+  socket.set_option(
+      net::asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
 }
 
 void LogRefused(const ConnectRequest& request, std::string_view outcome) {
@@ -89,7 +90,7 @@
   acceptor_.open(endpoint->protocol(), ec);
   acceptor_.set_option(net::asio::socket_base::reuse_address(true), ec);
   // Accepted connections inherit the limit.
-  LimitReceiveBuffer(acceptor_);
+  LimitSocketBuffers(acceptor_);
   acceptor_.bind(*endpoint, ec);
   if (!ec) {
     acceptor_.listen(net::asio::socket_base::max_listen_connections, ec);
@@ -135,8 +136,7 @@
   }
   auto address = Admit(handshake.request);
   if (!address) {
-    LogRefused(handshake.request, kStatusNames.NameOf(address.error()));
-    co_await SendAnswer(handshake.requester.get(), address.error());
+    co_await Refuse(std::move(handshake), address.error());
     co_return;
   }
   ++n_tunnels_;
@@ -180,20 +180,29 @@
   auto target = std::make_unique<net::TimedSocket>(executor_);
   net::ErrorCode ec;
   target->Raw().open(net::Tcp::v4(), ec);
-  LimitReceiveBuffer(target->Raw());
+  LimitSocketBuffers(target->Raw());
   ec = co_await target->Connect(address, base::Clock::Now() + kConnectTimeout);
-  const Status status = ec ? Status::kTargetUnreachable : Status::kOpen;
+  if (ec) {
+    --n_tunnels_;
+    target->Reset();
+    co_await Refuse(std::move(handshake), Status::kTargetUnreachable);
+    co_return;
+  }
   const bool is_answered =
-      co_await SendAnswer(handshake.requester.get(), status);
-  if (!ec && is_answered) {
-    target->SetTcpOptions(net::DeadPeerDetection::kKeepAliveProbes);
-    StartRelay(std::move(handshake), std::move(target));
+      co_await SendAnswer(handshake.requester.get(), Status::kOpen);
+  if (!is_answered) {
+    --n_tunnels_;
+    target->Reset();
+    LogRefused(handshake.request, "requester_gone");
     co_return;
   }
-  --n_tunnels_;
-  target->Reset();
-  LogRefused(handshake.request,
-             ec ? kStatusNames.NameOf(status) : "requester_gone");
+  target->SetTcpOptions(net::DeadPeerDetection::kKeepAliveProbes);
+  StartRelay(std::move(handshake), std::move(target));
+}
+
+awaitable<void> Server::Refuse(Handshake handshake, Status status) {
+  LogRefused(handshake.request, kStatusNames.NameOf(status));
+  co_await SendAnswer(handshake.requester.get(), status);
 }
 
 void Server::StartRelay(Handshake handshake,
--- a/src/tunnel/server.h
+++ b/src/tunnel/server.h
@@ -72,6 +72,7 @@
   /// Connects to the target of an admitted request and answers it.
   net::asio::awaitable<void> OpenTunnel(Handshake handshake,
                                         std::string address);
+  static net::asio::awaitable<void> Refuse(Handshake handshake, Status status);
   void StartRelay(Handshake handshake,
                   std::unique_ptr<net::TimedSocket> target);
   /// Finds the address for a request, unless no new tunnel is admitted.
--- a/src/tunnel/tunnel_test.cc
+++ b/src/tunnel/tunnel_test.cc
@@ -226,6 +226,9 @@
 Opened OpenTunnel(const std::string& peer, const std::string& target) {
   asio::io_context io(1);
   net::TimedSocket socket(io.get_executor());
+  socket.Raw().open(net::Tcp::v4());
+  socket.Raw().set_option(
+      asio::socket_base::receive_buffer_size(kSmallBufferBytes));
   Opened opened;
   asio::co_spawn(
       io,
@@ -420,8 +423,8 @@
   }
 
   void TestSlowReaderHoldsBackTheTarget() {
-    constexpr size_t kOffered = 64u << 20;
-    constexpr size_t kMaximumAhead = 12u << 20;
+    constexpr size_t kOffered = 16u << 20;
+    constexpr size_t kMaximumAhead = 1u << 20;
     const Listener target;
     Peer peer({{"t", target.Address()}});
     const Opened opened = OpenTunnel(peer.Address(), "t");
