Reach targets through a peer when the path to them is lost

Cause: an instance judged each target by itself and had one way to it. A lost path looked like the loss of all targets: nothing else was tried, and all of them were reported to peers as lost. Now it checks its path when a connect fails, a new connection is reset, a connection breaks or nothing is heard: connects to a few other targets tell a lost path from a lost target. While the path is lost, connections to targets go through a tunnel (HTTP CONNECT, by target id) of a peer that reaches them; decisions, retries, permits and evidence stay with the instance. Direct probes bring it back. Losses that the path explains are dropped; others are held until the check ends.

--- a/meta/partitioned_instance_test.py
+++ b/meta/partitioned_instance_test.py
@@ -580,7 +580,8 @@
     parser.add_argument("--variant", choices=("all",) + VARIANTS, default="all")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--port", type=int, default=29100)
-    parser.add_argument("--tunnels", action="store_true",
+    parser.add_argument("--tunnels", default=True,
+                        action=argparse.BooleanOptionalAction,
                         help="give each instance a listener for tunnels")
     arguments = parser.parse_args()
     folder = pathlib.Path(tempfile.mkdtemp(prefix="daisypond-partitioned-"))
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -11,6 +11,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "forward/caller_connection.h"
+#include "forward/connect_target.h"
 #include "forward/dialect.h"
 #include "forward/engine_poll.h"
 #include "forward/event_splitter.h"
@@ -600,10 +601,9 @@
     is_answer_recorded_ = false;
     has_answer_header_ = false;
     StartCopyFor(placement);
-    LogSend(placement, reason);
     forwarder_->metrics->Add(base::Counter::kSends);
     forwarder_->selector.OnSend(placement.id);
-    SendResult result = co_await SendAndReadAnswer(placement);
+    SendResult result = co_await SendAndReadAnswer(placement, reason);
     forwarder_->selector.OnSendEnded(placement.id);
     UpdateCopyOfRun(result.outcome, first_event);
     active_connection_.reset();
@@ -613,10 +613,24 @@
     LogSendEnded(placement, result, Clock::Now() - began_at);
     if (!result.finished && !IsAbandoned()) {
       RecordFailure(placement, result);
+      co_await WaitForPathCheck(placement);
     }
     co_return result;
   }
 
+  /// Waits until it is known whether the target or the path to it is lost, so
+  /// that the next send takes the right way.
+  net::asio::awaitable<void> WaitForPathCheck(const Placement& placement) {
+    if (std::exchange(is_loss_checked_, false)) {
+      // A braced temporary in a co_await expression is destroyed twice by GCC
+      // 12.
+      std::string id = placement.id;
+      co_await forwarder_->path_monitor.WaitForCheck(
+          std::move(id),
+          std::min(deadline_, Clock::Now() + LossHold::kMaximumHold));
+    }
+  }
+
   void RecordFailure(const Placement& placement, const SendResult& result) {
     const Millis now = Clock::Now();
     if (result.outcome == SendOutcome::kRefused) {
@@ -630,6 +644,9 @@
       }
       return;
     }
+    if (IsExplainedByPath(result)) {
+      return;
+    }
     excluded_targets_.insert(placement.id);
     if (result.reason == base::Reason::kErrorAnswer) {
       return;
@@ -657,12 +674,27 @@
     } else {
       forwarder_->selector.OnFailure(placement.id, now);
     }
-    forwarder_->OnTargetLost({{placement.id, placement.started_at},
-                              service_name_,
-                              placement.failure_domain},
-                             SuspectedContent(result, now),
-                             LossSource::kThisInstance);
+    forwarder_->path_monitor.OnLossFound(
+        {{placement.id, placement.started_at},
+         service_name_,
+         placement.failure_domain},
+        SuspectedContent(result, now),
+        result.reason == base::Reason::kTargetUnreachable
+            ? LossKind::kConnectFailed
+            : LossKind::kRequestFailed,
+        send_route_);
     last_lost_domain_ = placement.failure_domain;
+    is_loss_checked_ = send_route_ == ConnectionRoute::kDirect;
+  }
+
+  /// True when the send failed because the path to the target was lost; another
+  /// send to it goes through a peer.
+  bool IsExplainedByPath(const SendResult& result) const {
+    return send_route_ == ConnectionRoute::kDirect &&
+           result.outcome == SendOutcome::kUnknown &&
+           result.reason != base::Reason::kErrorAnswer &&
+           !forwarder_->tunnel_peers.empty() &&
+           forwarder_->path_monitor.Path().IsLossExplained(service_name_);
   }
 
   /// Returns what of the request may have crashed the target: nothing if the
@@ -729,10 +761,11 @@
     copy_manager_.reset();
   }
 
-  net::asio::awaitable<SendResult> SendAndReadAnswer(
-      const Placement& placement) {
+  net::asio::awaitable<SendResult> SendAndReadAnswer(const Placement& placement,
+                                                     base::Reason reason) {
     const std::shared_ptr<TargetConnection> connection =
         co_await OpenConnection(placement);
+    LogSend(placement, reason, connection.get());
     if (connection == nullptr) {
       co_return SendResult{SendOutcome::kNotSent,
                            base::Reason::kTargetUnreachable, std::nullopt};
@@ -748,7 +781,15 @@
     CheckSendAllowed();
     send_tracker_->OnSend(placement.id);
     connection->StartWrite(SerializeRequest(placement));
+    forwarder_->path_monitor.OnSendBegun(
+        connection, route_->repeatability == catalog::Repeatability::kRunOnce
+                        ? SendInterruption::kForbidden
+                        : SendInterruption::kAllowed);
     SendResult result = co_await ReadAnswer(placement, connection);
+    forwarder_->path_monitor.OnSendEnded(
+        connection, result.reason == base::Reason::kTargetBroken
+                        ? ReadStatus::kBroken
+                        : ReadStatus::kDone);
     if (!result.finished && connection->Socket().Raw().is_open() &&
         result.outcome == SendOutcome::kUnknown) {
       if (connection->HasWrittenNothing() && connection->IsWriteDone()) {
@@ -770,20 +811,26 @@
     const Millis now = Clock::Now();
     const bool may_repeat =
         route_->repeatability != catalog::Repeatability::kRunOnce;
+    const bool is_path_checked = forwarder_->path_monitor.Path().StateOf(
+                                     service_name_) == PathState::kChecking;
     std::shared_ptr<TargetConnection> connection =
-        forwarder_->connection_pool.TakeIdle(
-            placement.id,
-            may_repeat ? kMaximumIdleTime : kMaximumIdleTimeForRunOnce, now);
+        may_repeat || !is_path_checked
+            ? forwarder_->connection_pool.TakeIdle(
+                  placement.id,
+                  may_repeat ? kMaximumIdleTime : kMaximumIdleTimeForRunOnce,
+                  now)
+            : nullptr;
     if (connection != nullptr) {
+      send_route_ = connection->Route();
       co_return connection;
     }
     connection = forwarder_->connection_pool.CreateConnection(
         placement.id, placement.address);
     active_connection_ = connection;
-    forwarder_->metrics->Add(base::Counter::kConnectionsOpened);
-    const net::ErrorCode ec = co_await connection->Socket().Connect(
-        placement.address, std::min(now + kConnectTimeout, deadline_));
-    if (ec) {
+    const ConnectOutcome outcome =
+        co_await ConnectTarget(forwarder_, connection, deadline_);
+    send_route_ = outcome.route;
+    if (outcome.status != ConnectStatus::kConnected) {
       co_return nullptr;
     }
     connection->Socket().SetTcpOptions(
@@ -981,7 +1028,7 @@
                     bool is_body_complete) {
     if (is_body_complete && reader.HasDelimitedBody() && reader.IsKeptAlive() &&
         connection->IsWriteDone() && connection->Buffer().size() == 0) {
-      forwarder_->connection_pool.ReturnIdle(connection, Clock::Now());
+      forwarder_->path_monitor.ReturnIdle(connection);
     } else {
       connection->Socket().Close();
     }
@@ -1249,7 +1296,7 @@
 
   void CloseActiveConnection() {
     if (active_connection_ != nullptr) {
-      active_connection_->Socket().Close();
+      active_connection_->Abandon();
     }
   }
 
@@ -1264,7 +1311,9 @@
 
   // ---- Log lines.
 
-  void LogSend(const Placement& placement, base::Reason reason) const {
+  void LogSend(const Placement& placement,
+               base::Reason reason,
+               const TargetConnection* connection) const {
     base::Log(
         base::LogLevel::kInfo, "send",
         {{"request", request_info_.id},
@@ -1272,6 +1321,7 @@
          {"cause", base::kReasonNames.NameOf(
                        n_send_attempts_ == 1 ? base::Reason::kNone : reason)},
          {"target", placement.id},
+         {"via", connection == nullptr ? "none" : connection->Via()},
          {"domain", placement.failure_domain},
          {"software", placement.version},
          {"score", placement.score},
@@ -1405,6 +1455,9 @@
   bool is_ended_for_stop_ = false;
   /// The connection of the send in progress.
   std::shared_ptr<TargetConnection> active_connection_;
+  ConnectionRoute send_route_ = ConnectionRoute::kDirect;
+  /// True when the last send has begun a check of the path to its target.
+  bool is_loss_checked_ = false;
   /// The last error answer of a target. It is relayed if no other target
   /// answers without an error.
   std::string fallback_answer_;
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -1,12 +1,14 @@
 #ifndef DAISYPOND_FORWARD_TARGET_CONNECTION_H_
 #define DAISYPOND_FORWARD_TARGET_CONNECTION_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "base/clock.h"
+#include "forward/connection_route.h"
 #include "net/timed_socket.h"
 
 namespace daisypond::forward {
@@ -39,9 +41,34 @@
     return is_write_done_ && written_bytes_ == 0;
   }
 
+  /// Closes the connection because nobody waits for the answer any more.
+  void Abandon() {
+    is_abandoned_ = true;
+    socket_.Close();
+  }
+  bool IsAbandoned() const { return is_abandoned_; }
+
   /// Number of requests sent on this connection.
   int RequestCount() const { return request_count_; }
 
+  ConnectionRoute Route() const {
+    return tunnel_peer == nullptr ? ConnectionRoute::kDirect
+                                  : ConnectionRoute::kTunnel;
+  }
+
+  bool HasBeenHeard() const { return last_heard_at.count > INT64_MIN / 2; }
+
+  /// The way to the target, for log lines.
+  std::string Via() const {
+    return tunnel_peer == nullptr ? "direct" : *tunnel_peer;
+  }
+
+  /// Name of the peer that relays the bytes; null for a direct connection.
+  std::shared_ptr<const std::string> tunnel_peer;
+  /// When the direct connection was opened.
+  base::Millis connected_at{INT64_MIN / 2};
+  /// When bytes last arrived.
+  base::Millis last_heard_at{INT64_MIN / 2};
   /// How long the target keeps this connection open while it is idle.
   base::Millis idle_timeout{2000};
   /// Time at which the connection was last returned to the pool.
@@ -56,6 +83,7 @@
   bool is_write_done_ = true;
   size_t written_bytes_ = 0;
   int request_count_ = 0;
+  bool is_abandoned_ = false;
 };
 
 }  // namespace daisypond::forward
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,7 +28,9 @@
 #include "gateway/settings.h"
 #include "gateway/status_server.h"
 #include "gateway/stop_schedule.h"
+#include "gateway/tunnel_target.h"
 #include "net/address.h"
+#include "tunnel/server.h"
 
 namespace daisypond::gateway {
 
@@ -60,7 +62,11 @@
         release_records_(&release_reader_,
                          Format::kReleaseTable,
                          MakeReleaseCallbacks()),
-        acceptor_(traffic_) {
+        acceptor_(traffic_),
+        tunnel_server_(traffic_.get_executor(),
+                       [this](const tunnel::ConnectRequest& it) {
+                         return FindTunnelTarget(it);
+                       }) {
     forwarder_.borrow_retries = [this](const std::string& service, int wanted,
                                        std::function<void(int)> done) {
       asio::post(control_, [this, service, wanted, done = std::move(done)] {
@@ -101,6 +107,11 @@
         asio::co_spawn(traffic_, ShareParts(), asio::detached);
       }
     };
+    forwarder_.on_path_changed = [this](bool is_lost) {
+      is_path_lost_ = is_lost;
+      asio::post(control_,
+                 [this, is_lost] { peer_link_->AnnouncePathLost(is_lost); });
+    };
     forwarder_.on_target_lost = [this](const forward::TargetLoss& target,
                                        uint64_t content_hash,
                                        forward::LossAudience audience) {
@@ -113,7 +124,7 @@
   /// Opens the ports and starts both threads. Returns false when an address
   /// could not be bound.
   bool Start() {
-    if (!Listen()) {
+    if (!Listen() || !ListenForTunnels()) {
       return false;
     }
     status_server_.emplace(settings_, &metrics_,
@@ -147,9 +158,9 @@
     return true;
   }
 
-  /// Serves until no connection is open or Settings::stop_grace has nearly
-  /// passed, then closes what is open. Returns the number of connections that
-  /// were closed with a request open.
+  /// Serves until no connection or tunnel is open or Settings::stop_grace has
+  /// nearly passed, then closes what is open. Returns the number of connections
+  /// that were closed with a request open.
   size_t Stop() {
     is_ready_ = false;
     const StopSchedule schedule(base::Clock::Now(), settings_.stop_grace);
@@ -303,6 +314,20 @@
     return !ec;
   }
 
+  bool ListenForTunnels() {
+    return settings_.tunnel_listen.empty() ||
+           tunnel_server_.Listen(settings_.tunnel_listen);
+  }
+
+  /// Returns the address of the target to which a peer requests a tunnel.
+  tl::expected<std::string, tunnel::Status> FindTunnelTarget(
+      const tunnel::ConnectRequest& request) const {
+    if (is_path_lost_) {
+      return tl::unexpected(tunnel::Status::kRefused);
+    }
+    return FindTargetAddress(forwarder_.catalog, request);
+  }
+
   asio::awaitable<void> AcceptConnections() {
     while (acceptor_.is_open()) {
       auto [ec, socket] = co_await acceptor_.async_accept(net::kAsTuple);
@@ -429,6 +454,11 @@
                  [this, suspects] { forwarder_.OnSuspectedByPeer(suspects); });
     };
     callbacks.on_member_count = [this](size_t n) { OnMemberCount(n); };
+    callbacks.on_tunnel_peers = [this](std::vector<forward::TunnelPeer> peers) {
+      asio::post(traffic_, [this, peers = std::move(peers)]() mutable {
+        forwarder_.tunnel_peers = std::move(peers);
+      });
+    };
     return callbacks;
   }
 
@@ -506,6 +536,7 @@
     forwarder_.stop_at = schedule.EndRequestsAt();
     forwarder_.out_of_rotation_at = schedule.OutOfRotationAt();
     is_ready_ = false;
+    tunnel_server_.StopAccepting();
   }
 
   /// Closes the connections of callers as StopSchedule says, each after the
@@ -530,7 +561,8 @@
         EndRequests();
         are_requests_ended = true;
       }
-      if (sessions_.empty() && stop_schedule_.MayEndEarly(now)) {
+      if (sessions_.empty() && tunnel_server_.OpenTunnels() == 0 &&
+          stop_schedule_.MayEndEarly(now)) {
         is_drained = is_drained || CloseAcceptor() == 0;
       }
     }
@@ -589,6 +621,10 @@
   catalog::TableWatcher<typename Format::Reader> target_watcher_;
   ReleaseRecords<typename Format::Reader> release_records_;
   net::Tcp::acceptor acceptor_;
+  tunnel::Server tunnel_server_;
+  /// Of the traffic thread: true while this instance has no direct path to the
+  /// targets.
+  bool is_path_lost_ = false;
   std::optional<StatusServer> status_server_;
   std::optional<PeerLink> peer_link_;
   size_t member_count_ = 0;
