Hold losses found through peers, and do not break off sends that live on

A loss on a relayed connection is evidence only if the peer still reaches targets. While a service is lost, its losses are held until a peer reaches it or the hold ends, and as long as the path to all targets is being checked. Open sends are broken off 400 ms after the first failure, unless bytes have arrived on open connections by then; before, they were broken off at once.

--- a/src/forward/connect_target.cc
+++ b/src/forward/connect_target.cc
@@ -104,11 +104,13 @@
   co_return status;
 }
 
-/// Returns nothing if no peer could tell whether the target is reachable.
+/// Returns nothing if no peer could tell whether the target is reachable. Sets
+/// `last_peer` to the name of the peer that was asked last.
 net::asio::awaitable<std::optional<ConnectStatus>> ConnectThroughPeer(
     Forwarder* forwarder,
     std::shared_ptr<TargetConnection> connection,
-    Millis deadline) {
+    Millis deadline,
+    std::string* last_peer) {
   std::vector<TunnelPeer> tried;
   std::optional<ConnectStatus> result;
   for (int i = 0; i < kMaximumTunnelPeers; ++i) {
@@ -121,6 +123,7 @@
       break;
     }
     tried.push_back(*peer);
+    *last_peer = peer->instance;
     const tunnel::Status status =
         co_await OpenTunnel(forwarder, connection, *peer, deadline);
     if (connection->IsAbandoned()) {
@@ -161,12 +164,14 @@
       co_return outcome;
     }
   }
-  const std::optional<ConnectStatus> status =
-      co_await ConnectThroughPeer(forwarder, connection, deadline);
+  const std::optional<ConnectStatus> status = co_await ConnectThroughPeer(
+      forwarder, connection, deadline, &outcome.peer);
   if (status) {
     outcome.status = *status;
-    outcome.route = ConnectionRoute::kTunnel;
-  } else if (was_lost) {
+    co_return outcome;
+  }
+  outcome.peer.clear();
+  if (was_lost) {
     connection->Socket().Close();
     outcome.status = co_await ConnectDirectly(forwarder, connection, deadline);
   }
--- a/src/forward/connect_target.h
+++ b/src/forward/connect_target.h
@@ -3,10 +3,10 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 #include "base/clock.h"
 #include "base/name_table.h"
-#include "forward/connection_route.h"
 #include "forward/forwarder.h"
 #include "forward/target_connection.h"
 
@@ -24,8 +24,9 @@
 
 struct ConnectOutcome {
   ConnectStatus status = ConnectStatus::kUnreachable;
-  /// The route of the last attempt.
-  ConnectionRoute route = ConnectionRoute::kDirect;
+  /// The peer that was last asked to relay the connection; empty for a direct
+  /// attempt.
+  std::string peer;
 };
 
 /// Connects `connection` to its target before `deadline`: directly, or through
--- a/src/forward/cut_path_test.cc
+++ b/src/forward/cut_path_test.cc
@@ -396,6 +396,8 @@
     n_to_break_ = 1;
     EXPECT(instance_->Request("POST", "/once/a", "\r\n\r\n")
                .starts_with("HTTP/1.1 502 "));
+    EXPECT_EQ(0, instance_->n_reported.load());
+    WaitForReports();
     EXPECT_EQ(1, instance_->n_reported.load());
   }
 
@@ -405,10 +407,17 @@
     ApplyAddress(refusing.Address());
     EXPECT(instance_->Request("POST", "/once/a", "\r\n\r\n")
                .starts_with("HTTP/1.1 503 "));
+    WaitForReports();
     EXPECT(instance_->n_reported >= 1);
   }
 
  private:
+  void WaitForReports() const {
+    for (int i = 0; i < 150 && instance_->n_reported == 0; ++i) {
+      std::this_thread::sleep_for(Millis{10}.ToChrono());
+    }
+  }
+
   bool Serve(LoopbackConnection & connection, const std::string& header) {
     if (header.starts_with("GET /alive")) {
       return connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n0 0");
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -654,16 +654,15 @@
         result.reason == base::Reason::kTargetUnreachable
             ? LossKind::kConnectFailed
             : LossKind::kRequestFailed,
-        send_route_);
+        send_peer_);
     last_lost_domain_ = placement.failure_domain;
-    is_loss_checked_ = send_route_ == ConnectionRoute::kDirect;
+    is_loss_checked_ = send_peer_.empty();
   }
 
   /// True when the send failed because the path to the target was lost; another
   /// send to it goes through a peer.
   bool IsExplainedByPath(const SendResult& result) const {
-    return send_route_ == ConnectionRoute::kDirect &&
-           result.outcome == SendOutcome::kUnknown &&
+    return send_peer_.empty() && result.outcome == SendOutcome::kUnknown &&
            result.reason != base::Reason::kErrorAnswer &&
            !forwarder_->tunnel_peers.empty() &&
            forwarder_->path_monitor.Path().IsLossExplained(service_name_);
@@ -791,7 +790,7 @@
                   now)
             : nullptr;
     if (connection != nullptr) {
-      send_route_ = connection->Route();
+      send_peer_ = connection->Peer();
       co_return connection;
     }
     connection = forwarder_->connection_pool.CreateConnection(
@@ -799,7 +798,7 @@
     active_connection_ = connection;
     const ConnectOutcome outcome =
         co_await ConnectTarget(forwarder_, connection, deadline_);
-    send_route_ = outcome.route;
+    send_peer_ = outcome.peer;
     if (outcome.status != ConnectStatus::kConnected) {
       co_return nullptr;
     }
@@ -1420,7 +1419,8 @@
   bool is_caller_gone_ = false;
   /// The connection of the send in progress.
   std::shared_ptr<TargetConnection> active_connection_;
-  ConnectionRoute send_route_ = ConnectionRoute::kDirect;
+  /// The peer that relays the connection of the last send; empty if none does.
+  std::string send_peer_;
   /// True when the last send has begun a check of the path to its target.
   bool is_loss_checked_ = false;
   /// The last error answer of a target. It is relayed if no other target
--- a/src/forward/loss_hold.cc
+++ b/src/forward/loss_hold.cc
@@ -19,7 +19,7 @@
 
 bool LossHold::IsPathSoundAfter(const HeldLoss& loss) const {
   // New connections may fail while open ones live on.
-  if (loss.kind == LossKind::kConnectFailed) {
+  if (loss.kind == LossKind::kConnectFailed || !loss.peer.empty()) {
     return false;
   }
   const Heard& heard = last_heard_.target != loss.target.process.id
@@ -28,15 +28,30 @@
   return heard.at >= loss.found_at + kMinimumHeardDelay;
 }
 
-SettledLosses LossHold::TakeSettled(const TargetPath& path, Millis now) {
+bool LossHold::IsExplained(const HeldLoss& loss,
+                           const TargetPath& path,
+                           const std::vector<TunnelPeer>& peers) const {
+  if (loss.peer.empty()) {
+    return path.IsLossExplained(loss.target.service);
+  }
+  return std::none_of(peers.begin(), peers.end(), [&](const TunnelPeer& it) {
+    return it.instance == loss.peer && it.has_target_path;
+  });
+}
+
+SettledLosses LossHold::TakeSettled(const TargetPath& path,
+                                    const std::vector<TunnelPeer>& peers,
+                                    Millis now) {
   SettledLosses settled;
   std::vector<HeldLoss> kept;
   for (HeldLoss& it : held_) {
-    const std::string& service = it.target.service;
-    const bool is_checked = path.StateOf(service) != PathState::kChecking;
-    if (path.IsLossExplained(service)) {
+    // While a service is lost, a peer may yet reach it.
+    const bool is_path_sound =
+        it.peer.empty() && path.State() == PathState::kDirect &&
+        path.StateOf(it.target.service) == PathState::kDirect;
+    if (IsExplained(it, path, peers)) {
       settled.explained.push_back(std::move(it));
-    } else if (is_checked || IsPathSoundAfter(it) ||
+    } else if (is_path_sound || IsPathSoundAfter(it) ||
                now >= it.found_at + kMaximumHold) {
       settled.confirmed.push_back(std::move(it));
     } else {
--- a/src/forward/loss_hold.h
+++ b/src/forward/loss_hold.h
@@ -11,6 +11,7 @@
 #include "forward/request_content.h"
 #include "forward/target_loss.h"
 #include "forward/target_path.h"
+#include "forward/tunnel_peer.h"
 
 namespace daisypond::forward {
 
@@ -25,13 +26,14 @@
 inline constexpr base::NameTable<LossKind, 2> kLossKindNames("connect_failed",
                                                              "request_failed");
 
-/// A loss found on a direct connection.
 struct HeldLoss {
   TargetLoss target;
   /// Of a request that may have crashed the target.
   RequestContent content;
   LossKind kind = LossKind::kRequestFailed;
   base::Millis found_at;
+  /// The peer that relayed the connection; empty for a direct one.
+  std::string peer;
 };
 
 /// What is to be done with losses that were held.
@@ -57,8 +59,12 @@
   /// Bytes arrived from the target on a direct connection.
   void OnBytesReceived(const std::string& target, base::Millis now);
 
-  /// Returns the losses that need not be held any longer.
-  SettledLosses TakeSettled(const TargetPath& path, base::Millis now);
+  /// Returns the losses that need not be held any longer. Those on a connection
+  /// that a peer relayed are explained if the peer is not in `peers` any more
+  /// or has lost its own path.
+  SettledLosses TakeSettled(const TargetPath& path,
+                            const std::vector<TunnelPeer>& peers,
+                            base::Millis now);
 
   bool IsEmpty() const { return held_.empty(); }
   size_t Size() const { return held_.size(); }
@@ -75,6 +81,9 @@
   Heard last_heard_other_;
 
   bool IsPathSoundAfter(const HeldLoss& loss) const;
+  bool IsExplained(const HeldLoss& loss,
+                   const TargetPath& path,
+                   const std::vector<TunnelPeer>& peers) const;
 };
 
 }  // namespace daisypond::forward
--- a/src/forward/path_monitor.cc
+++ b/src/forward/path_monitor.cc
@@ -25,9 +25,11 @@
 // checked. Doubled each time that the path turns out to be sound.
 constexpr Millis kSilenceTimeout{500};
 constexpr Millis kMaximumSilenceTimeout{2000};
-// Bytes that arrive within this time of the first failure may have been sent
-// before the path was lost.
-constexpr Millis kFlightTime{50};
+// Failures up to this long before the first suspicion have the same cause.
+constexpr Millis kForgottenTime{50};
+// How long after the first failure open sends are broken off, unless bytes have
+// arrived by then.
+constexpr Millis kInterruptionDelay{400};
 // How long a probe waits for a reset of its connection.
 constexpr Millis kResetDelay{20};
 
@@ -141,15 +143,11 @@
 void PathMonitor::OnLossFound(const TargetLoss& target,
                               const RequestContent& content,
                               LossKind kind,
-                              ConnectionRoute route) {
-  if (route == ConnectionRoute::kTunnel) {
-    forwarder_->OnTargetLost(target, content, LossSource::kThisInstance);
-    return;
-  }
-  if (kind == LossKind::kRequestFailed) {
+                              const std::string& peer) {
+  if (kind == LossKind::kRequestFailed && peer.empty()) {
     Suspect(target.process.id, PathSuspicion::kRequestFailed);
   }
-  held_losses_.Add({target, content, kind, base::Clock::Now()});
+  held_losses_.Add({target, content, kind, base::Clock::Now(), peer});
   Update();
   Wake();
 }
@@ -203,7 +201,8 @@
 void PathMonitor::ApplyState(const std::string& service, PathState state) {
   const auto lost = lost_paths_.find(service);
   if (state == PathState::kLost && lost == lost_paths_.end()) {
-    lost_paths_[service] = {base::Clock::Now(), 0};
+    lost_paths_[service] = {base::Clock::Now(), path_.SuspectedSince(service),
+                            0};
     OnPathLost(service);
   } else if (state == PathState::kDirect && lost != lost_paths_.end()) {
     const LostPath path = lost->second;
@@ -220,7 +219,7 @@
              {"open_sends", open_sends_.size()},
              {"held_losses", held_losses_.Size()},
              {"peers", forwarder_->tunnel_peers.size()}});
-  forwarder_->selector.ForgetFailuresSince(service, since - kFlightTime);
+  forwarder_->selector.ForgetFailuresSince(service, since - kForgottenTime);
   CloseDirectConnections(service, since);
   if (service.empty() && forwarder_->on_path_changed) {
     forwarder_->on_path_changed(true);
@@ -253,18 +252,23 @@
       it.first->Socket().Raw().cancel(ignored);
     }
   }
+}
+
+void PathMonitor::InterruptSends() {
+  const Millis now = base::Clock::Now();
   std::vector<std::shared_ptr<TargetConnection>> interrupted;
-  for (const auto& it : open_sends_) {
-    const TargetConnection& connection = *it.first;
-    if (connection.Route() != ConnectionRoute::kDirect ||
-        !IsInScope(connection, service)) {
+  for (const auto& path : lost_paths_) {
+    const std::string& service = path.first;
+    if (now < path.second.suspected_since + kInterruptionDelay ||
+        path_.DoConnectionsLiveOn(service)) {
       continue;
     }
-    if (connection.last_heard_at >= since + kFlightTime) {
-      return;
-    }
-    if (it.second.interruption == SendInterruption::kAllowed) {
-      interrupted.push_back(it.first);
+    for (const auto& it : open_sends_) {
+      if (it.first->Route() == ConnectionRoute::kDirect &&
+          it.second.interruption == SendInterruption::kAllowed &&
+          IsInScope(*it.first, service)) {
+        interrupted.push_back(it.first);
+      }
     }
   }
   for (const auto& it : interrupted) {
@@ -281,8 +285,8 @@
   for (const auto& it : open_sends_) {
     RecordBytes(*it.first);
   }
-  const SettledLosses settled =
-      held_losses_.TakeSettled(path_, base::Clock::Now());
+  const SettledLosses settled = held_losses_.TakeSettled(
+      path_, forwarder_->tunnel_peers, base::Clock::Now());
   for (const HeldLoss& it : settled.confirmed) {
     forwarder_->OnTargetLost(it.target, it.content, LossSource::kThisInstance,
                              it.found_at);
@@ -381,6 +385,7 @@
                           net::asio::detached);
     }
     Update();
+    InterruptSends();
     timer_.expires_at(
         std::chrono::steady_clock::time_point(NextRunAt().ToChrono()));
     co_await timer_.async_wait(net::kAsTuple);
--- a/src/forward/path_monitor.h
+++ b/src/forward/path_monitor.h
@@ -79,11 +79,12 @@
   void OnSendEnded(const std::shared_ptr<TargetConnection>& connection,
                    ReadStatus status);
 
-  /// This instance has found a target lost on a connection of `route`.
+  /// This instance has found a target lost on a connection that `peer` relayed;
+  /// empty for a direct one.
   void OnLossFound(const TargetLoss& target,
                    const RequestContent& content,
                    LossKind kind,
-                   ConnectionRoute route);
+                   const std::string& peer);
 
   /// Adds the connection to the pool, or closes it if it must not be used for
   /// another request. Its last response must have been read completely.
@@ -102,6 +103,7 @@
   /// A path that is lost, for its log lines.
   struct LostPath {
     base::Millis lost_at;
+    base::Millis suspected_since;
     int64_t n_explained_losses = 0;
   };
 
@@ -116,9 +118,12 @@
   void OnPathLost(const std::string& service);
   void OnPathRestored(const std::string& service, const LostPath& lost);
   void SettleLosses();
-  /// Breaks off the direct connects and sends to targets of the service, and
-  /// closes its idle direct connections, unless they live on.
+  /// Breaks off the direct connects to targets of the service, and closes its
+  /// direct connections that have been idle since before the path was lost.
   void CloseDirectConnections(const std::string& service, base::Millis since);
+  /// Breaks off the direct sends to targets that cannot be reached, unless open
+  /// connections live on.
+  void InterruptSends();
   void CheckSlowConnects();
   void CheckSilence();
   /// Returns since when all open direct sends have had no answer, or nothing if
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -56,6 +56,11 @@
                                   : ConnectionRoute::kTunnel;
   }
 
+  /// Name of the peer that relays the bytes, or an empty string.
+  std::string Peer() const {
+    return tunnel_peer == nullptr ? "" : *tunnel_peer;
+  }
+
   bool HasBeenHeard() const { return last_heard_at.count > INT64_MIN / 2; }
 
   /// The way to the target, for log lines.
--- a/src/forward/target_path.cc
+++ b/src/forward/target_path.cc
@@ -411,6 +411,11 @@
          it->second.is_reached_through_peer;
 }
 
+bool TargetPath::DoConnectionsLiveOn(const std::string& service) const {
+  const auto it = services_.find(service);
+  return HasHeard(service, it == services_.end() ? whole_ : it->second);
+}
+
 bool TargetPath::NeedsProbes() const {
   return whole_.state != PathState::kDirect ||
          std::any_of(services_.begin(), services_.end(), [](const auto& it) {
--- a/src/forward/target_path.h
+++ b/src/forward/target_path.h
@@ -93,6 +93,10 @@
   /// them is lost.
   bool IsLossExplained(const std::string& service) const;
 
+  /// True when open connections to targets of the service (all if empty) have
+  /// carried bytes since the path was lost.
+  bool DoConnectionsLiveOn(const std::string& service) const;
+
   /// True when a check or a lost path needs Update() and TakeProbes().
   bool NeedsProbes() const;
 
