Decode the rejections a second above which a target fails

The header Server-Brittle was not read. It becomes rejection_limit in the response metadata; a value that is no single rate is marked as unreadable, as for the limit on requests.

--- a/src/forward/message.h
+++ b/src/forward/message.h
@@ -120,6 +120,13 @@
   std::optional<double> request_limit;
   /// The response states a limit that cannot be read. The previous one holds.
   bool has_unreadable_limit = false;
+  /// The target is brittle: it fails when it has to reject more requests a
+  /// second than this, from all instances together. Holds until a response
+  /// states none.
+  std::optional<double> rejection_limit;
+  /// The response states a rejection limit that cannot be read. The previous
+  /// one holds.
+  bool has_unreadable_rejection_limit = false;
   /// How long the target keeps an idle connection open; empty when not stated.
   std::optional<base::Millis> keep_alive;
 };
