Lease the slots of brittle targets to all instances together

Callers saw targets fall one after the other: a target that says it is brittle fails once it has to reject more than N requests a second, and many instances learn of a full target only from its rejections, each by its own request. Nothing read that statement.

While a target is brittle, one member (chosen as for permits) leases its slots to all instances, one for each send; the instance gives the slot back with what became of the send (RejectionGuard, SharedSlots, calls TakeSlot and ReturnSlot). Rejections of requests sent without a lease are reported, too. Targets of a service are brittle together: one that has not answered since its start counts as brittle, so that a restart of all of them does not begin without leases. A request for which no slot is free waits for an eighth of its objective, then it is refused with a spread Retry-After. A full brittle target is chosen last. The log lines of permits name their kind.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -286,6 +286,10 @@
         co_await Sleep(kTargetPollPeriod);
         continue;
       }
+      if (!placement && MayWaitForSlot()) {
+        co_await Sleep(kSlotPollPeriod);
+        continue;
+      }
       if (!placement && IsVersionGone()) {
         continue;
       }
@@ -333,9 +337,82 @@
     return base::Reason::kTargetLimit;
   }
 
-  /// Takes a permit if the target limits the requests of all instances. A
-  /// target without a permit is not chosen until one can be expected.
+  /// Takes what the send needs of what all instances share: a slot if the
+  /// target is brittle, and a permit if it limits the requests. A target
+  /// without them is not chosen until they can be expected.
   net::asio::awaitable<bool> AcquirePermit(Placement placement) {
+    const bool has_slot = co_await AcquireSlot(placement);
+    if (!has_slot) {
+      co_return false;
+    }
+    const bool has_permit = co_await AcquireRequestPermit(placement);
+    if (!has_permit) {
+      ReturnSlot(SlotOutcome::kUnused);
+    }
+    co_return has_permit;
+  }
+
+  net::asio::awaitable<bool> AcquireSlot(Placement placement) {
+    const std::optional<double> limit =
+        forwarder_->selector.RejectionLimit(placement.id);
+    if (!limit) {
+      co_return true;
+    }
+    SlotRequest request;
+    request.target = {placement.id, placement.started_at};
+    request.lease_id = base::RandomNumber();
+    request.rejection_limit = *limit;
+    request.slots = forwarder_->selector.SlotsOf(placement.id);
+    request.duration = TimeLeft() + kSlotLeaseMargin;
+    const RequestPermit permit = co_await TakeSlot(forwarder_, request);
+    LogPermit(placement, PermitKind::kSlot, *limit, permit);
+    is_slot_refused_ = !permit.is_granted;
+    if (is_slot_refused_) {
+      forwarder_->selector.OnPermitRefused(placement.id,
+                                           Clock::Now() + permit.wait);
+      co_return false;
+    }
+    slot_ = SlotReturn{request.target, request.lease_id, *limit,
+                       SlotOutcome::kUnused};
+    co_return true;
+  }
+
+  /// Gives back the slot of the last send, if it had one.
+  void ReturnSlot(SlotOutcome outcome) {
+    if (slot_ && forwarder_->return_slot) {
+      slot_->outcome = outcome;
+      forwarder_->return_slot(*slot_);
+    }
+    slot_.reset();
+  }
+
+  /// Ends the use of the target's slot by a send. Reports also a rejection of a
+  /// request for which no slot was leased, as the target was not known to be
+  /// brittle.
+  void ReturnSlotAfterSend(const Placement& placement,
+                           const SendResult& result) {
+    const SlotOutcome outcome = SlotOutcomeOf(result);
+    const std::optional<double> limit =
+        forwarder_->selector.RejectionLimit(placement.id);
+    if (!slot_ && limit && outcome == SlotOutcome::kRejected) {
+      slot_ =
+          SlotReturn{{placement.id, placement.started_at}, 0, *limit, outcome};
+    }
+    ReturnSlot(outcome);
+  }
+
+  static SlotOutcome SlotOutcomeOf(const SendResult& result) {
+    if (result.outcome == SendOutcome::kRefused &&
+        result.reason != base::Reason::kTargetReplaced) {
+      return SlotOutcome::kRejected;
+    }
+    return result.outcome == SendOutcome::kNotSent ||
+                   result.outcome == SendOutcome::kRefused
+               ? SlotOutcome::kUnused
+               : SlotOutcome::kUsed;
+  }
+
+  net::asio::awaitable<bool> AcquireRequestPermit(Placement placement) {
     const std::optional<double> limit =
         forwarder_->selector.RequestLimit(placement.id);
     if (!limit) {
@@ -345,7 +422,7 @@
     const TargetProcess process{placement.id, placement.started_at};
     const RequestPermit permit =
         co_await TakePermit(forwarder_, process, *limit);
-    LogPermit(placement, *limit, permit);
+    LogPermit(placement, PermitKind::kRequest, *limit, permit);
     if (!permit.is_granted) {
       forwarder_->selector.OnPermitRefused(placement.id,
                                            Clock::Now() + permit.wait);
@@ -365,6 +442,14 @@
            Clock::Now() < ResumeDeadline();
   }
 
+  /// True when the request may wait until brittle targets have a free slot.
+  bool MayWaitForSlot() const {
+    return is_slot_refused_ && !HasStreamBegun() &&
+           Clock::Now() < request_.arrived_at + route_->latency_objective *
+                                                    kSlotWaitPercent /
+                                                    kPercentBase;
+  }
+
   /// True when no target is left that could go on with the stream.
   bool IsVersionGone() const {
     return stream_version_ &&
@@ -519,6 +604,7 @@
   }
 
   net::asio::awaitable<ConnectionReuse> FailRequest(base::Reason reason) {
+    ReturnSlot(SlotOutcome::kUnused);
     if (is_caller_gone_) {
       forwarder_->metrics->Add(base::Counter::kCallersGone);
       LogAnswer(0, base::Reason::kCallerGone);
@@ -577,6 +663,7 @@
     forwarder_->selector.OnSend(placement.id);
     SendResult result = co_await SendAndReadAnswer(placement);
     forwarder_->selector.OnSendEnded(placement.id);
+    ReturnSlotAfterSend(placement, result);
     UpdateCopyOfRun(result.outcome, first_event);
     active_connection_.reset();
     send_tracker_->OnSendEnded(placement.id, result.outcome);
@@ -1259,11 +1346,13 @@
   }
 
   void LogPermit(const Placement& placement,
+                 PermitKind kind,
                  double limit,
                  RequestPermit permit) const {
     base::Log(base::LogLevel::kInfo, "permit",
               {{"request", request_info_.id},
                {"target", placement.id},
+               {"kind", kPermitKindNames.NameOf(kind)},
                {"limit", limit},
                {"granted", permit.is_granted},
                {"wait_ms", permit.wait.count}});
@@ -1367,6 +1456,10 @@
   std::set<std::string> disconnected_targets_;
   /// When no target has a permit left: time until one can be expected.
   Millis permit_wait_;
+  /// The slot that is leased for the next send or the send in progress.
+  std::optional<SlotReturn> slot_;
+  /// True when the last target that was asked for a slot had none.
+  bool is_slot_refused_ = false;
   bool is_caller_gone_ = false;
   /// The connection of the send in progress.
   std::shared_ptr<TargetConnection> active_connection_;
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -31,6 +31,13 @@
 inline constexpr int64_t kRetryWaitPercent = 25;
 /// How often a stream that found no eligible target checks for one again.
 inline constexpr base::Millis kTargetPollPeriod{100};
+/// How often a request for which brittle targets have no free slot looks for
+/// one, and for how long since its arrival, in percent of the route's latency
+/// objective.
+inline constexpr base::Millis kSlotPollPeriod{10};
+inline constexpr int64_t kSlotWaitPercent = 12;
+/// The lease of a slot outlasts the deadline of its request by this time.
+inline constexpr base::Millis kSlotLeaseMargin{200};
 /// Longest time after its last event that an interrupted stream waits for a
 /// target or for retry budget before it is cut. Engines keep the copy of the
 /// run's KV cache for this long.
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -18,6 +18,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include "forward/rejection_guard.h"
 #include "forward/session.h"
 #include "tests/fake_target.h"
 #include "tests/plain_dialect.h"
@@ -159,6 +160,19 @@
     }
   }
 
+  template <typename Take, typename Return>
+  void SetSlotSource(Take take, Return give_back) {
+    std::atomic<bool> is_done = false;
+    asio::post(io_, [&] {
+      forwarder_->take_slot = take;
+      forwarder_->return_slot = give_back;
+      is_done = true;
+    });
+    while (!is_done) {
+      std::this_thread::yield();
+    }
+  }
+
   template <typename Record, typename Find>
   void SetStreamRecords(Record record, Find find) {
     std::atomic<bool> is_done = false;
@@ -285,6 +299,9 @@
   CPPUNIT_TEST(TestRequestLimitHoldsForAllInstancesTogether);
   CPPUNIT_TEST(TestRequestBeyondAllLimitsIsRefusedAtOnce);
   CPPUNIT_TEST(TestLiftedLimitHoldsNoLonger);
+  CPPUNIT_TEST(TestInstancesShareTheSlotsOfABrittleTarget);
+  CPPUNIT_TEST(TestRequestWithoutSlotIsRefusedAtOnce);
+  CPPUNIT_TEST(TestSlotIsReturnedWithItsOutcome);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -1056,9 +1073,141 @@
     EXPECT(n >= 3);
   }
 
+  void TestInstancesShareTheSlotsOfABrittleTarget() {
+    constexpr int kCallersPerInstance = 4;
+    constexpr int kCalls = 10;
+    std::atomic<int> n_concurrent = 0;
+    std::atomic<int> n_most = 0;
+    AddTarget([&](LoopbackConnection& connection, const std::string& header) {
+      const int n = ++n_concurrent;
+      n_most = std::max(n_most.load(), n);
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      --n_concurrent;
+      return connection.Send(MakeAnswer(200, HeaderField(header, "Request-Id"),
+                                        "", "Seal: s\r\nBrittle: 1\r\n"));
+    });
+    Instance other;
+    other.Apply(catalog_);
+    ShareSlots({instance_.get(), &other});
+    for (const Instance* it : {instance_.get(), &other}) {
+      EXPECT_EQ(std::string("200"),
+                RequestStatus("POST", "/once/a", it->Port()));
+    }
+    n_most = 0;
+    std::atomic<int> n_served = 0;
+    std::vector<std::thread> callers;
+    for (const Instance* it : {instance_.get(), &other}) {
+      for (int i = 0; i < kCallersPerInstance; ++i) {
+        callers.emplace_back([this, it, &n_served] {
+          for (int j = 0; j < kCalls; ++j) {
+            n_served +=
+                RequestStatus("POST", "/once/a", it->Port()) == "200" ? 1 : 0;
+          }
+        });
+      }
+    }
+    for (std::thread& it : callers) {
+      it.join();
+    }
+    EXPECT_EQ(1, n_most.load());
+    EXPECT(n_served >= kCalls);
+  }
+
+  void TestRequestWithoutSlotIsRefusedAtOnce() {
+    FakeTarget& target = AddBrittleTarget();
+    instance_->SetSlotSource(
+        [](const SlotRequest&, const std::function<void(RequestPermit)>& done) {
+          done({false, {5000}});
+        },
+        [](const SlotReturn&) {});
+    EXPECT_EQ(std::string("200"), RequestStatus("POST", "/once/a"));
+    for (int i = 0; i < 2; ++i) {
+      const base::Millis began_at = base::Clock::Now();
+      Caller caller(instance_->Port());
+      caller.SendRequest("POST", "/once/a", "r1", "Content-Length: 0\r\n");
+      const std::string header =
+          caller.connection->ReadUntil("\r\n\r\n", kReadTimeoutMs);
+      EXPECT(header.starts_with("HTTP/1.1 503 "));
+      EXPECT(std::stod(HeaderField(header, "Retry-After")) >= 4);
+      EXPECT(base::Clock::Now() - began_at < base::Millis{200});
+    }
+    EXPECT_EQ(size_t{1}, target.Requests().size());
+  }
+
+  void TestSlotIsReturnedWithItsOutcome() {
+    std::atomic<bool> is_full = false;
+    std::atomic<bool> is_brittle = true;
+    AddTarget([&](LoopbackConnection& connection, const std::string& header) {
+      const std::string fields =
+          std::string(is_full ? "Not-Run: 1\r\n" : "Seal: s\r\n") +
+          (is_brittle ? "Brittle: 4\r\n" : "");
+      return connection.Send(MakeAnswer(
+          is_full ? 503 : 200, HeaderField(header, "Request-Id"), "", fields));
+    });
+    std::mutex mutex;
+    std::vector<uint64_t> taken;
+    std::vector<SlotReturn> returned;
+    instance_->SetSlotSource(
+        [&](const SlotRequest& slot,
+            const std::function<void(RequestPermit)>& done) {
+          const std::lock_guard lock(mutex);
+          taken.push_back(slot.lease_id);
+          done({true, {}});
+        },
+        [&](const SlotReturn& slot) {
+          const std::lock_guard lock(mutex);
+          returned.push_back(slot);
+        });
+    EXPECT_EQ(std::string("200"), RequestStatus("POST", "/once/a"));
+    EXPECT_EQ(std::string("200"), RequestStatus("POST", "/once/a"));
+    is_full = true;
+    EXPECT_EQ(std::string("503"), RequestStatus("POST", "/once/a"));
+    is_full = false;
+    is_brittle = false;
+    EXPECT_EQ(std::string("200"), RequestStatus("POST", "/once/a"));
+    EXPECT_EQ(std::string("200"), RequestStatus("POST", "/once/a"));
+    const std::lock_guard lock(mutex);
+    EXPECT_EQ(size_t{3}, taken.size());
+    EXPECT_EQ(size_t{3}, returned.size());
+    for (size_t i = 0; i < returned.size(); ++i) {
+      EXPECT_EQ(taken[i], returned[i].lease_id);
+      EXPECT(returned[i].outcome ==
+             (i == 1 ? SlotOutcome::kRejected : SlotOutcome::kUsed));
+    }
+  }
+
  private:
   static constexpr int kStreamMs = 8000;
 
+  FakeTarget& AddBrittleTarget() {
+    return AddTarget([](LoopbackConnection& connection,
+                        const std::string& header) {
+      return connection.Send(MakeAnswer(200, HeaderField(header, "Request-Id"),
+                                        "", "Seal: s\r\nBrittle: 4\r\n"));
+    });
+  }
+
+  /// Connects the instances so that they share the slots of brittle targets.
+  static void ShareSlots(const std::vector<Instance*>& instances) {
+    struct SharedGuard {
+      std::mutex mutex;
+      RejectionGuard guard;
+    };
+    const auto shared = std::make_shared<SharedGuard>();
+    for (Instance* it : instances) {
+      it->SetSlotSource(
+          [shared](const SlotRequest& slot,
+                   const std::function<void(RequestPermit)>& done) {
+            const std::lock_guard lock(shared->mutex);
+            done(shared->guard.Take(slot, base::Clock::Now()));
+          },
+          [shared](const SlotReturn& slot) {
+            const std::lock_guard lock(shared->mutex);
+            shared->guard.Return(slot, base::Clock::Now());
+          });
+    }
+  }
+
   /// Connects the instances so that limits of targets hold for all of them
   /// together.
   static void ShareRequestLimits(const std::vector<Instance*>& instances) {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -121,6 +121,12 @@
 
 void Forwarder::OnResponse(const std::string& target,
                            const ResponseMetadata& metadata) {
+  OnRequestLimit(target, metadata);
+  OnRejectionLimit(target, metadata);
+}
+
+void Forwarder::OnRequestLimit(const std::string& target,
+                               const ResponseMetadata& metadata) {
   if (metadata.has_unreadable_limit) {
     base::Log(base::LogLevel::kWarning, "target_limit_unreadable",
               {{"target", target}});
@@ -137,6 +143,29 @@
   }
 }
 
+void Forwarder::OnRejectionLimit(const std::string& target,
+                                 const ResponseMetadata& metadata) {
+  if (metadata.has_unreadable_rejection_limit) {
+    base::Log(base::LogLevel::kWarning, "target_brittle_unreadable",
+              {{"target", target}});
+    return;
+  }
+  // Only an answer to a request lifts the limit.
+  const bool is_lifted = !metadata.rejection_limit && !metadata.id.empty();
+  if (metadata.is_wrong_target || (!metadata.rejection_limit && !is_lifted)) {
+    return;
+  }
+  if (selector.OnRejectionLimit(target, metadata.rejection_limit,
+                                base::Clock::Now())) {
+    base::Log(base::LogLevel::kInfo, "target_brittle",
+              {{"target", target},
+               {"rejections_per_second",
+                metadata.rejection_limit
+                    ? fmt::format("{}", *metadata.rejection_limit)
+                    : "none"}});
+  }
+}
+
 void Forwarder::OnRetryWaitBegun(const std::string& service) {
   ++retry_borrow_states[service].n_waiting;
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -16,6 +16,7 @@
 #include "forward/request_content.h"
 #include "forward/request_permit_pool.h"
 #include "forward/retry_limit.h"
+#include "forward/slot_lease.h"
 #include "forward/stream_record.h"
 #include "forward/target_loss.h"
 #include "forward/target_selector.h"
@@ -77,7 +78,7 @@
   /// targets.
   void OnSuspectedByPeer(const std::vector<Suspect>& suspects);
 
-  /// Records the limit that a response of the target states, or that it states
+  /// Records the limits that a response of the target states, or that it states
   /// none.
   void OnResponse(const std::string& target, const ResponseMetadata& metadata);
 
@@ -115,6 +116,13 @@
                      double limit,
                      std::function<void(RequestPermit)> done)>
       take_permit;
+  /// Leases one of the slots that all instances share of a brittle target.
+  /// `done` is called once, on the traffic thread.
+  std::function<void(const SlotRequest& request,
+                     std::function<void(RequestPermit)> done)>
+      take_slot;
+  /// Gives a leased slot back.
+  std::function<void(const SlotReturn& slot)> return_slot;
   /// Records by which software a stream was begun; `id` is that of the attempt
   /// that got its first event.
   std::function<void(const std::string& id, const StreamRecord& record)>
@@ -148,6 +156,10 @@
   size_t held_bytes = 0;
 
  private:
+  void OnRequestLimit(const std::string& target,
+                      const ResponseMetadata& metadata);
+  void OnRejectionLimit(const std::string& target,
+                        const ResponseMetadata& metadata);
   /// Logs which prompt parts are blocked now or not any more, and passes on
   /// that peers are to be told of some.
   void OnSuspectsChanged();
--- a/src/forward/take_permit.cc
+++ b/src/forward/take_permit.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +16,36 @@
 constexpr base::Millis kWaitAfterTimeout{300};
 constexpr base::Millis kMinimumWait{10};
 
+/// A question to the instance that holds the permits or slots of a target.
+struct Question {
+  explicit Question(const net::asio::any_io_executor& executor)
+      : answered(executor) {
+    answered.expires_after(kTimeout.ToChrono());
+  }
+
+  void Answer(RequestPermit answer) {
+    permit = answer;
+    answered.cancel();
+  }
+
+  net::asio::steady_timer answered;
+  std::optional<RequestPermit> permit;
+  /// Nobody waits for the answer any longer.
+  bool is_abandoned = false;
+};
+
+net::asio::awaitable<RequestPermit> AwaitAnswer(
+    std::shared_ptr<Question> question) {
+  if (!question->permit) {
+    co_await question->answered.async_wait(net::kAsTuple);
+  }
+  question->is_abandoned = !question->permit;
+  RequestPermit permit =
+      question->permit.value_or(RequestPermit{false, kWaitAfterTimeout});
+  permit.wait = std::max(permit.wait, kMinimumWait);
+  co_return permit;
+}
+
 }  // namespace
 
 net::asio::awaitable<RequestPermit> TakePermit(Forwarder* forwarder,
@@ -23,25 +54,28 @@
   if (!forwarder->take_permit) {
     co_return RequestPermit{true, {}};
   }
-  struct State {
-    explicit State(const net::asio::any_io_executor& executor)
-        : answered(executor) {}
-    net::asio::steady_timer answered;
-    RequestPermit permit{false, kWaitAfterTimeout};
-    bool is_answered = false;
-  };
-  const auto state = std::make_shared<State>(forwarder->executor);
-  state->answered.expires_after(kTimeout.ToChrono());
-  forwarder->take_permit(target, limit, [state](RequestPermit permit) {
-    state->permit = permit;
-    state->is_answered = true;
-    state->answered.cancel();
+  const auto question = std::make_shared<Question>(forwarder->executor);
+  forwarder->take_permit(target, limit, [question](RequestPermit permit) {
+    question->Answer(permit);
   });
-  if (!state->is_answered) {
-    co_await state->answered.async_wait(net::kAsTuple);
+  co_return co_await AwaitAnswer(question);
+}
+
+net::asio::awaitable<RequestPermit> TakeSlot(Forwarder* forwarder,
+                                             SlotRequest request) {
+  if (!forwarder->take_slot) {
+    co_return RequestPermit{true, {}};
   }
-  state->permit.wait = std::max(state->permit.wait, kMinimumWait);
-  co_return state->permit;
+  const auto question = std::make_shared<Question>(forwarder->executor);
+  forwarder->take_slot(request, [forwarder, request,
+                                 question](RequestPermit permit) {
+    if (permit.is_granted && question->is_abandoned) {
+      forwarder->return_slot({request.target, request.lease_id,
+                              request.rejection_limit, SlotOutcome::kUnused});
+    }
+    question->Answer(permit);
+  });
+  co_return co_await AwaitAnswer(question);
 }
 
 }  // namespace daisypond::forward
--- a/src/forward/target_selector.cc
+++ b/src/forward/target_selector.cc
@@ -61,6 +61,8 @@
 // runs, if another version is more common.
 constexpr size_t kCommonVersionTargets = 3;
 constexpr double kScarceVersionWeight = 8;
+// Weight of a brittle target that has no free slot left.
+constexpr double kFullBrittleWeight = 20;
 constexpr double kServiceLoadScale = 6;
 constexpr double kNoiseWeight = 0.05;
 // Weight of the newest outcome in the moving average of the failure rate.
@@ -195,6 +197,9 @@
       state.suspected_at + kSuspicionPeriod > now) {
     score += kSuspectedWeight;
   }
+  if (EstimateLoad(state, now) >= slots && RejectionLimitOf(state)) {
+    score += kFullBrittleWeight;
+  }
   if (!request.avoided_domain.empty() &&
       state.target.failure_domain == request.avoided_domain) {
     score += kAvoidedDomainWeight;
@@ -452,6 +457,49 @@
   return it == states_.end() ? std::nullopt : it->second.request_limit;
 }
 
+bool TargetSelector::OnRejectionLimit(const std::string& id,
+                                      std::optional<double> limit,
+                                      Millis now) {
+  TargetState* state = StateOf(id);
+  if (state == nullptr) {
+    return false;
+  }
+  ServiceState& service = services_[state->target.service];
+  if (limit && !service.rejection_limit) {
+    service.brittle_since = now;
+  }
+  service.rejection_limit = limit;
+  state->rejection_limit_stated_at = now;
+  if (state->rejection_limit == limit) {
+    return false;
+  }
+  if (!limit && !state->request_limit) {
+    state->no_permit_until = {0};
+  }
+  state->rejection_limit = limit;
+  return true;
+}
+
+std::optional<double> TargetSelector::RejectionLimit(
+    const std::string& id) const {
+  const auto it = states_.find(id);
+  return it == states_.end() ? std::nullopt : RejectionLimitOf(it->second);
+}
+
+std::optional<double> TargetSelector::RejectionLimitOf(
+    const TargetState& state) const {
+  const auto it = services_.find(state.target.service);
+  const bool is_own_newer =
+      state.rejection_limit || it == services_.end() ||
+      state.rejection_limit_stated_at >= it->second.brittle_since;
+  return is_own_newer ? state.rejection_limit : it->second.rejection_limit;
+}
+
+int64_t TargetSelector::SlotsOf(const std::string& id) const {
+  const auto it = states_.find(id);
+  return it == states_.end() ? 0 : it->second.target.slots;
+}
+
 void TargetSelector::OnPermitRefused(const std::string& id, Millis until) {
   if (TargetState* state = StateOf(id)) {
     state->no_permit_until = until;
--- a/src/forward/target_selector.h
+++ b/src/forward/target_selector.h
@@ -50,8 +50,13 @@
   /// Requests a second that the target accepts from all instances together;
   /// empty when it has stated no limit.
   std::optional<double> request_limit;
-  /// Until this time the target is not chosen, because a permit to send it a
-  /// request was refused.
+  /// Rejections a second above which the target fails; empty when it is not
+  /// brittle.
+  std::optional<double> rejection_limit;
+  /// When the target last stated `rejection_limit`, or that it is not brittle.
+  base::Millis rejection_limit_stated_at{INT64_MIN / 2};
+  /// Until this time the target is not chosen, because a permit or a slot to
+  /// send it a request was refused.
   base::Millis no_permit_until;
   /// Weighted share of failures among recent sends, from 0 to 1. Newer sends
   /// have more weight.
@@ -189,8 +194,24 @@
   /// together; empty when there is no limit.
   std::optional<double> RequestLimit(const std::string& id) const;
 
-  /// A permit to send the target a request was refused; the target is not
-  /// chosen until `until`.
+  /// The target stated that it is brittle, or that it is not. Returns true if
+  /// that is a change.
+  bool OnRejectionLimit(const std::string& id,
+                        std::optional<double> limit,
+                        base::Millis now);
+
+  /// Returns the rejections a second above which the target fails; empty when
+  /// it is not brittle. The targets of a service are brittle at the same time:
+  /// one that has stated nothing since the first of them became brittle is
+  /// taken to be so, too.
+  std::optional<double> RejectionLimit(const std::string& id) const;
+
+  /// Returns the number of requests that the target processes concurrently;
+  /// zero if the target is not known.
+  int64_t SlotsOf(const std::string& id) const;
+
+  /// A permit or a slot to send the target a request was refused; the target is
+  /// not chosen until `until`.
   void OnPermitRefused(const std::string& id, base::Millis until);
 
   /// If the service has targets that could be chosen with a permit, returns
@@ -224,12 +245,20 @@
   size_t Size() const { return states_.size(); }
 
  private:
+  /// What the targets of one service last stated.
+  struct ServiceState {
+    std::optional<double> rejection_limit;
+    /// When the first target stated a rejection limit.
+    base::Millis brittle_since;
+  };
+
   TargetState* StateOf(const std::string& id);
   /// Marks targets whose address belongs to a target that started later. The
   /// catalog entry of a crashed target remains for seconds, while its successor
   /// is already registered at the same address.
   void MarkSuperseded();
   double EstimateLoad(const TargetState& state, base::Millis now) const;
+  std::optional<double> RejectionLimitOf(const TargetState& state) const;
   double ComputeScore(const TargetState& state,
                       const PlacementRequest& request,
                       base::Millis now) const;
@@ -245,6 +274,8 @@
 
   uint64_t random_;
   std::map<std::string, TargetState> states_;
+  /// By name. Outlives the targets, which may all be replaced.
+  std::map<std::string, ServiceState> services_;
 };
 
 }  // namespace daisypond::forward
--- a/src/forward/target_selector_test.cc
+++ b/src/forward/target_selector_test.cc
@@ -149,6 +149,9 @@
   CPPUNIT_TEST(TestNewRunsAvoidAVersionOfFewTargets);
   CPPUNIT_TEST(TestRestartWithAnotherVersionIsAnotherProcess);
   CPPUNIT_TEST(TestChosenTargetIsAlwaysEligible);
+  CPPUNIT_TEST(TestBrittleServiceStaysBrittleWhenAllItsTargetsRestart);
+  CPPUNIT_TEST(TestTargetThatIsNotBrittleNeedsNoSlot);
+  CPPUNIT_TEST(TestFullBrittleTargetIsChosenLast);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -451,6 +454,46 @@
         }));
   }
 
+  void TestBrittleServiceStaysBrittleWhenAllItsTargetsRestart() {
+    TargetSelector selector(1);
+    catalog::Targets targets = MakeEngines(2, 1);
+    selector.Configure(targets);
+    EXPECT(!selector.RejectionLimit("e0"));
+    EXPECT(selector.OnRejectionLimit("e0", 4, kNow));
+    EXPECT(!selector.OnRejectionLimit("e0", 4, kNow));
+    EXPECT_EQ(4.0, *selector.RejectionLimit("e1"));
+    for (auto& it : targets) {
+      it.second.started_at += 1;
+    }
+    selector.Configure(targets);
+    EXPECT_EQ(4.0, *selector.RejectionLimit("e0"));
+    EXPECT_EQ(4.0, *selector.RejectionLimit("e1"));
+  }
+
+  void TestTargetThatIsNotBrittleNeedsNoSlot() {
+    TargetSelector selector(1);
+    selector.Configure(MakeEngines(3, 1));
+    EXPECT(!selector.OnRejectionLimit("e0", std::nullopt, kNow));
+    selector.OnRejectionLimit("e1", 4, kNow);
+    EXPECT(!selector.RejectionLimit("e0"));
+    EXPECT(selector.RejectionLimit("e1").has_value());
+    EXPECT(selector.RejectionLimit("e2").has_value());
+    EXPECT(selector.OnRejectionLimit("e1", std::nullopt, kNow + Millis{1}));
+    EXPECT(!selector.RejectionLimit("e1"));
+    EXPECT(!selector.RejectionLimit("e2"));
+  }
+
+  void TestFullBrittleTargetIsChosenLast() {
+    TargetSelector selector(1);
+    selector.Configure(MakeEngines(2, 2));
+    selector.OnRejectionLimit("e0", 4, kNow);
+    selector.OnLoadReport("e0", {24, 0, 24}, kNow);
+    selector.OnLoadReport("e1", {23, 12, 24}, kNow);
+    EXPECT_EQ(std::string("e0"), selector.Choose(EngineRequest(1), kNow)->id);
+    selector.OnLoadReport("e1", {23, 0, 24}, kNow);
+    EXPECT_EQ(std::string("e1"), selector.Choose(EngineRequest(1), kNow)->id);
+  }
+
  private:
   int n_same_engine_ = 0;
   int n_choices_ = 0;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,6 +78,19 @@
                 });
           });
         };
+    forwarder_.take_slot =
+        [this](const forward::SlotRequest& request,
+               std::function<void(forward::RequestPermit)> done) {
+          asio::post(control_, [this, request, done = std::move(done)] {
+            peer_link_->Slots().Take(
+                request, [this, done](forward::RequestPermit permit) {
+                  asio::post(traffic_, [done, permit] { done(permit); });
+                });
+          });
+        };
+    forwarder_.return_slot = [this](const forward::SlotReturn& slot) {
+      asio::post(control_, [this, slot] { peer_link_->Slots().Return(slot); });
+    };
     forwarder_.record_stream = [this](const std::string& id,
                                       const forward::StreamRecord& record) {
       asio::post(control_, [this, id, record] {
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -137,6 +137,7 @@
       membership_(MakeSelfState(settings), &client_, MakeMembershipCallbacks()),
       retry_budget_(&membership_, &client_, callbacks_.post, settings),
       request_limit_(&membership_, &client_),
+      slots_(&membership_, &client_, callbacks_.post),
       stream_records_(&membership_, &client_, callbacks_.post),
       server_(settings.peer_listen,
               grpc::InsecureServerCredentials(),
@@ -199,6 +200,16 @@
     reply.set_wait_ms(permit.wait.count);
     return reply;
   };
+  dependencies.on_take_slot = [this](const peer::TakeSlotRequest& request) {
+    const forward::RequestPermit permit = slots_.Grant(request);
+    peer::TakeSlotReply reply;
+    reply.set_is_granted(permit.is_granted);
+    reply.set_wait_ms(permit.wait.count);
+    return reply;
+  };
+  dependencies.on_return_slot = [this](const peer::ReturnSlotRequest& request) {
+    slots_.TakeBack(request);
+  };
   dependencies.on_record_stream =
       [this](const peer::RecordStreamRequest& request) {
         stream_records_.AddRecord(request);
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -16,6 +16,7 @@
 #include "gateway/settings.h"
 #include "gateway/shared_request_limit.h"
 #include "gateway/shared_retry_budget.h"
+#include "gateway/shared_slots.h"
 #include "gateway/shared_stream_records.h"
 #include "peer/membership_protocol.h"
 #include "peer/peer_client.h"
@@ -109,6 +110,9 @@
   /// The limits on requests to targets that all instances share.
   SharedRequestLimit& RequestLimit() { return request_limit_; }
 
+  /// The slots of brittle targets that all instances share.
+  SharedSlots& Slots() { return slots_; }
+
   /// The records of streams that callers may take up again at any instance.
   SharedStreamRecords& StreamRecords() { return stream_records_; }
 
@@ -159,6 +163,7 @@
   peer::MembershipProtocol membership_;
   SharedRetryBudget retry_budget_;
   SharedRequestLimit request_limit_;
+  SharedSlots slots_;
   SharedStreamRecords stream_records_;
   peer::PeerServer server_;
   std::vector<HeldRequest> held_requests_;
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -97,6 +97,25 @@
     });
   }
 
+  /// Asks for a slot of a target that has one. True if it is leased.
+  bool TakeSlot(const forward::TargetProcess& target, uint64_t lease_id) {
+    std::promise<bool> is_leased;
+    loop_.Post([&] {
+      link_->Slots().Take({target, lease_id, kRejectionLimit, 1, {60'000}},
+                          [&](forward::RequestPermit permit) {
+                            is_leased.set_value(permit.is_granted);
+                          });
+    });
+    return is_leased.get_future().get();
+  }
+
+  void ReturnSlot(const forward::TargetProcess& target, uint64_t lease_id) {
+    loop_.Post([this, target, lease_id] {
+      link_->Slots().Return(
+          {target, lease_id, kRejectionLimit, forward::SlotOutcome::kUsed});
+    });
+  }
+
   void ShareSuspects(const std::vector<forward::Suspect>& suspects) {
     loop_.Post([this, suspects] { link_->ShareSuspects(suspects); });
   }
@@ -132,6 +151,8 @@
   std::atomic<size_t> member_count = 0;
 
  private:
+  static constexpr double kRejectionLimit = 1;
+
   base::Metrics metrics_;
   base::ControlLoop loop_;
   std::optional<PeerLink> link_;
@@ -154,6 +175,7 @@
   CPPUNIT_TEST(TestStreamRecordOutlivesTheInstanceThatServedIt);
   CPPUNIT_TEST(TestOnlyVersionOfAServiceIsTheOriginOfItsStreams);
   CPPUNIT_TEST(TestMembersShareTheLimitOfATarget);
+  CPPUNIT_TEST(TestMembersShareTheSlotsOfATarget);
   CPPUNIT_TEST(TestPermitHolderIsAliveAndDiffersByTarget);
   CPPUNIT_TEST_SUITE_END();
 
@@ -274,6 +296,29 @@
     EXPECT(a.permits > 0 && b.permits > 0);
   }
 
+  void TestMembersShareTheSlotsOfATarget() {
+    constexpr base::Millis kTimeout{5000};
+    const std::string address = FreeAddress();
+    Member a("a", address, {});
+    Member b("b", FreeAddress(), {address});
+    a.Start();
+    b.Start();
+    EXPECT(BecomesTrue(
+        [&] { return a.member_count == 2 && b.member_count == 2; }, kTimeout));
+    // Each member holds the slots of some of the targets.
+    for (int i = 0; i < 10; ++i) {
+      const forward::TargetProcess target{fmt::format("t{}", i), 1};
+      EXPECT(a.TakeSlot(target, 1));
+      EXPECT(!b.TakeSlot(target, 2));
+      EXPECT(!a.TakeSlot(target, 3));
+      a.ReturnSlot(target, 1);
+      EXPECT(BecomesTrue([&] { return b.TakeSlot(target, 2); }, kTimeout));
+      EXPECT(!a.TakeSlot(target, 3));
+      b.ReturnSlot(target, 2);
+      EXPECT(BecomesTrue([&] { return a.TakeSlot(target, 3); }, kTimeout));
+    }
+  }
+
   void TestPermitHolderIsAliveAndDiffersByTarget() {
     std::vector<membership::PeerState> members(5);
     for (size_t i = 0; i < members.size(); ++i) {
--- a/src/peer/peer_client.cc
+++ b/src/peer/peer_client.cc
@@ -334,6 +334,40 @@
       std::move(done));
 }
 
+void PeerClient::TakeSlot(
+    const std::string& address,
+    const TakeSlotRequest& request,
+    base::Millis timeout,
+    std::function<void(std::optional<TakeSlotReply>)> done) {
+  auto shared_request = std::make_shared<TakeSlotRequest>(request);
+  StartCall<TakeSlotRequest, TakeSlotReply>(
+      address, *shared_request, timeout,
+      [shared_request](auto* stub, auto* context, const auto&, auto* reply,
+                       auto on_done) {
+        stub->TakeSlot(context, shared_request.get(), reply,
+                       [shared_request, on_done](const grpc::Status& status) {
+                         on_done(status);
+                       });
+      },
+      std::move(done));
+}
+
+void PeerClient::ReturnSlot(const std::string& address,
+                            const ReturnSlotRequest& request,
+                            base::Millis timeout) {
+  auto shared_request = std::make_shared<ReturnSlotRequest>(request);
+  StartCall<ReturnSlotRequest, ReturnSlotReply>(
+      address, *shared_request, timeout,
+      [shared_request](auto* stub, auto* context, const auto&, auto* reply,
+                       auto on_done) {
+        stub->ReturnSlot(context, shared_request.get(), reply,
+                         [shared_request, on_done](const grpc::Status& status) {
+                           on_done(status);
+                         });
+      },
+      [](const std::optional<ReturnSlotReply>&) {});
+}
+
 void PeerClient::RecordStream(const std::string& address,
                               const RecordStreamRequest& request,
                               base::Millis timeout) {
--- a/src/peer/peer_client.h
+++ b/src/peer/peer_client.h
@@ -96,6 +96,18 @@
                   base::Millis timeout,
                   std::function<void(std::optional<TakePermitReply>)> done);
 
+  /// Asks a peer for a slot of a brittle target. `done` gets nothing when the
+  /// peer did not answer.
+  void TakeSlot(const std::string& address,
+                const TakeSlotRequest& request,
+                base::Millis timeout,
+                std::function<void(std::optional<TakeSlotReply>)> done);
+
+  /// Gives a slot back to a peer. The result of the call is ignored.
+  void ReturnSlot(const std::string& address,
+                  const ReturnSlotRequest& request,
+                  base::Millis timeout);
+
   /// Sends the record of a stream to a peer. The result of the call is ignored.
   void RecordStream(const std::string& address,
                     const RecordStreamRequest& request,
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -142,6 +142,31 @@
     return reactor;
   }
 
+  grpc::ServerUnaryReactor* TakeSlot(grpc::CallbackServerContext* context,
+                                     const TakeSlotRequest* request,
+                                     TakeSlotReply* reply) override {
+    if (!dependencies_.on_take_slot) {
+      return FinishUnimplemented(context);
+    }
+    auto* reactor = context->DefaultReactor();
+    dependencies_.post([this, request, reply, reactor] {
+      *reply = dependencies_.on_take_slot(*request);
+      reactor->Finish(grpc::Status::OK);
+    });
+    return reactor;
+  }
+
+  grpc::ServerUnaryReactor* ReturnSlot(grpc::CallbackServerContext* context,
+                                       const ReturnSlotRequest* request,
+                                       ReturnSlotReply*) override {
+    if (!dependencies_.on_return_slot) {
+      return FinishUnimplemented(context);
+    }
+    dependencies_.post(
+        [this, copy = *request] { dependencies_.on_return_slot(copy); });
+    return FinishOk(context);
+  }
+
   grpc::ServerUnaryReactor* RecordStream(grpc::CallbackServerContext* context,
                                          const RecordStreamRequest* request,
                                          RecordStreamReply*) override {
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -43,6 +43,13 @@
 using TakePermitHandler =
     std::function<TakePermitReply(const TakePermitRequest& request)>;
 
+/// Answers a peer's request for a slot. Called on the control thread.
+using TakeSlotHandler =
+    std::function<TakeSlotReply(const TakeSlotRequest& request)>;
+
+/// Takes back a slot from a peer. Called on the control thread.
+using ReturnSlotHandler = std::function<void(const ReturnSlotRequest& request)>;
+
 using RecordStreamHandler =
     std::function<void(const RecordStreamRequest& request)>;
 using FindStreamHandler =
@@ -50,9 +57,9 @@
 
 /// The objects and handlers that answer calls. `copy_store`, `configuration`,
 /// `on_fetch_catalog`, `on_lend_retries`, `on_report_requests`,
-/// `on_take_permit`, `on_record_stream` and `on_find_stream` may be null; calls
-/// that need a null member fail with UNIMPLEMENTED. The other members must be
-/// set.
+/// `on_take_permit`, `on_take_slot`, `on_return_slot`, `on_record_stream` and
+/// `on_find_stream` may be null; calls that need a null member fail with
+/// UNIMPLEMENTED. The other members must be set.
 struct PeerServerDependencies {
   generation::CopyStore* copy_store = nullptr;
   intents::ActiveConfiguration* configuration = nullptr;
@@ -64,6 +71,8 @@
   LendRetriesHandler on_lend_retries;
   ReportRequestsHandler on_report_requests;
   TakePermitHandler on_take_permit;
+  TakeSlotHandler on_take_slot;
+  ReturnSlotHandler on_return_slot;
   RecordStreamHandler on_record_stream;
   FindStreamHandler on_find_stream;
 };
--- a/tests/plain_dialect.h
+++ b/tests/plain_dialect.h
@@ -99,6 +99,10 @@
     if (!limit.empty()) {
       metadata.request_limit = std::atof(limit.c_str());
     }
+    const std::string rejection_limit = Text(from, "Brittle");
+    if (!rejection_limit.empty()) {
+      metadata.rejection_limit = std::atof(rejection_limit.c_str());
+    }
     return metadata;
   }
 
