Keep the slot of a request that was broken off leased for a while

A target may go on with a request whose connection was closed, so its slot was leased again while it was still taken. Such a slot now stays leased for 100 ms after the end of the send (SlotOutcome::kAbandoned).

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -406,10 +406,16 @@
         result.reason != base::Reason::kTargetReplaced) {
       return SlotOutcome::kRejected;
     }
-    return result.outcome == SendOutcome::kNotSent ||
-                   result.outcome == SendOutcome::kRefused
-               ? SlotOutcome::kUnused
-               : SlotOutcome::kUsed;
+    switch (result.outcome) {
+      case SendOutcome::kNotSent:
+      case SendOutcome::kRefused:
+        return SlotOutcome::kUnused;
+      case SendOutcome::kUnknown:
+        return SlotOutcome::kAbandoned;
+      case SendOutcome::kAnswered:
+        break;
+    }
+    return SlotOutcome::kUsed;
   }
 
   net::asio::awaitable<bool> AcquireRequestPermit(Placement placement) {
--- a/src/forward/rejection_guard.cc
+++ b/src/forward/rejection_guard.cc
@@ -105,7 +105,7 @@
 void RejectionGuard::Return(const SlotReturn& slot, Millis now) {
   Slots& slots = SlotsOf(slot.target, now);
   const auto it = slots.leases.find(slot.lease_id);
-  const Lease* lease = it == slots.leases.end() ? nullptr : &it->second;
+  Lease* lease = it == slots.leases.end() ? nullptr : &it->second;
   if (slot.outcome == SlotOutcome::kRejected) {
     OnRejection(&slots, lease, now);
   } else if (slot.outcome == SlotOutcome::kUsed && lease != nullptr &&
@@ -115,7 +115,9 @@
       slots.usable = std::max(slots.usable, lease->leased);
     }
   }
-  if (lease != nullptr) {
+  if (lease != nullptr && slot.outcome == SlotOutcome::kAbandoned) {
+    lease->expires_at = std::min(lease->expires_at, now + kAbandonedLease);
+  } else if (lease != nullptr) {
     slots.leases.erase(it);
   }
 }
--- a/src/forward/rejection_guard.h
+++ b/src/forward/rejection_guard.h
@@ -30,6 +30,9 @@
   static constexpr double kUsedShareOfLimit = 0.5;
   /// A send that has not been rejected within this time was accepted.
   static constexpr base::Millis kConfirmationTime{30};
+  /// How long a slot stays leased after its request was broken off. Not all
+  /// targets stop work when their connection closes.
+  static constexpr base::Millis kAbandonedLease{100};
   /// How long to wait for a slot when all of them are leased.
   static constexpr base::Millis kSlotWait{15};
   /// A target for which nobody has asked for this long is forgotten.
--- a/src/forward/slot_lease.h
+++ b/src/forward/slot_lease.h
@@ -27,15 +27,18 @@
 enum class SlotOutcome : uint8_t {
   /// The request was not sent.
   kUnused,
-  /// The target accepted the request, or what it did is not known.
+  /// The target has ended the request.
   kUsed,
   /// The target rejected the request.
   kRejected,
+  /// The request was broken off. The target may go on with it.
+  kAbandoned,
 };
 
-inline constexpr base::NameTable<SlotOutcome, 3> kSlotOutcomeNames("unused",
+inline constexpr base::NameTable<SlotOutcome, 4> kSlotOutcomeNames("unused",
                                                                    "used",
-                                                                   "rejected");
+                                                                   "rejected",
+                                                                   "abandoned");
 
 /// Gives a leased slot back. A rejected request that was sent without a lease
 /// is reported with a `lease_id` of zero.
