Count requests of the entry instance from their connection, and drain by that

Callers saw: requests whose body was being read when the instance got SIGTERM, and whole requests that waited for a thread, ended without a byte of an answer, with exit status 0. Cause: requests were counted only inside the handler, after the body had been read; the drain read that counter, returned at once when it was 0, and the end of the server dropped all other connections. Now the server keeps a table of its connections from the moment a thread takes them until they are closed. A stopping instance closes its port when no request is open, none is expected soon or may wait in the queue (all threads in use), and no request has ended for kQuietPeriod; connections without a request are awaited for kHeaderWait after they were accepted. The invariant planned_stop_cuts_nothing uses the same table. Unit tests not yet run.

--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -47,20 +47,27 @@
   }
 }
 
-/// Waits until all open requests have ended. After the drain deadline, streams
-/// are handed over to other instances. Returns false if requests are still open
-/// kHandoverGrace after the deadline.
+/// Waits until the port may be closed: all requests that have been read or may
+/// wait to be read have been answered. After the drain deadline, streams are
+/// handed over to other instances. Returns false if this takes until
+/// kHandoverGrace after the deadline and requests may still be open then.
 bool Drain(daisypond::entry::Instance* instance,
            daisypond::entry::Server* server) {
-  const Millis drain_deadline = Clock::Now() + instance->settings.drain_timeout;
+  const Millis began_at = Clock::Now();
+  const Millis drain_deadline = began_at + instance->settings.drain_timeout;
   instance->drain_deadline_ms = drain_deadline.count;
   const Millis final_deadline = drain_deadline + kHandoverGrace;
-  while (server->OpenRequests() > 0 && Clock::Now() < final_deadline) {
+  bool may_close = server->MayClose(began_at);
+  while (!may_close && Clock::Now() < final_deadline) {
     std::this_thread::sleep_for(kDrainPollPeriod.ToChrono());
+    may_close = server->MayClose(began_at);
   }
-  const bool has_drained = server->OpenRequests() == 0;
+  const bool has_drained = may_close || server->IsIdle();
   instance->metrics.CheckInvariant(
       daisypond::base::Invariant::kPlannedStopCutsNothing, has_drained);
+  Log(has_drained ? LogLevel::kInfo : LogLevel::kError, "drained",
+      {{"open", server->OpenRequests()},
+       {"took_ms", (Clock::Now() - began_at).count}});
   return has_drained;
 }
 
--- a/src/entry/server.cc
+++ b/src/entry/server.cc
@@ -44,13 +44,10 @@
       control_plane_(control_plane),
       generation_handler_(instance),
       service_call_handler_(instance),
-      server_(ServerOptionsFor(instance->settings),
-              [this](const http::ServerRequest& request,
-                     http::ResponseStream& stream) {
-                ++open_requests_;
-                Route(request, &stream);
-                --open_requests_;
-              }) {}
+      server_(
+          ServerOptionsFor(instance->settings),
+          [this](const http::ServerRequest& request,
+                 http::ResponseStream& stream) { Route(request, &stream); }) {}
 
 bool Server::IsReady() const {
   return instance_->active_configuration.Version() > 0 &&
--- a/src/entry/server.h
+++ b/src/entry/server.h
@@ -17,8 +17,16 @@
 
   bool IsRunning() const { return server_.IsRunning(); }
 
-  /// The number of requests that are being served.
-  int64_t OpenRequests() const { return open_requests_; }
+  /// The number of requests that are being read, served or answered.
+  int64_t OpenRequests() const { return server_.OpenRequests(); }
+
+  /// True if no request is open, expected soon or may wait for a thread.
+  bool IsIdle() const { return server_.IsIdle(); }
+
+  /// True if an instance that began to stop at `began_at` may close its port.
+  bool MayClose(base::Millis began_at) const {
+    return server_.MayClose(began_at);
+  }
 
  private:
   void Route(const http::ServerRequest& request, http::ResponseStream* stream);
@@ -36,7 +44,6 @@
   ControlPlane* control_plane_;
   GenerationHandler generation_handler_;
   ServiceCallHandler service_call_handler_;
-  std::atomic<int64_t> open_requests_ = 0;
   // Declared last, so that it is destroyed first: its threads use the members
   // above.
   http::Server server_;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -13,6 +13,10 @@
 
 constexpr size_t kReadBufferBytes = 8192;
 
+ConnectionTable::ConnectionId IdOf(const mg_connection* connection) {
+  return reinterpret_cast<ConnectionTable::ConnectionId>(connection);
+}
+
 std::string FormatStatusLineAndHeaders(const ServerResponse& response) {
   std::string buf = fmt::format(
       "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nCache-Control: no-store\r\n"
@@ -60,7 +64,9 @@
 }
 
 Server::Server(ServerOptions options, Handler handler)
-    : options_(std::move(options)), handler_(std::move(handler)) {
+    : options_(std::move(options)),
+      handler_(std::move(handler)),
+      connections_(static_cast<size_t>(options_.threads)) {
   const std::string threads = std::to_string(options_.threads);
   const std::string timeout = std::to_string(options_.request_timeout.count);
   std::vector<const char*> settings = {"num_threads",        threads.c_str(),
@@ -74,7 +80,9 @@
   settings.push_back(options_.address.c_str());
   settings.push_back(nullptr);
   mg_init_library(0);
-  const mg_callbacks callbacks{};
+  mg_callbacks callbacks{};
+  callbacks.init_connection = &Server::OnConnectionOpened;
+  callbacks.connection_closed = &Server::OnConnectionClosed;
   context_ = mg_start(&callbacks, this, settings.data());
   if (context_ != nullptr) {
     mg_set_request_handler(context_, "**", &Server::OnRequest, this);
@@ -93,11 +101,45 @@
   return ports[0].port;
 }
 
+int64_t Server::OpenRequests() const {
+  const std::lock_guard lock(mutex_);
+  return connections_.OpenRequests();
+}
+
+bool Server::IsIdle() const {
+  const std::lock_guard lock(mutex_);
+  return connections_.IsIdle(base::Clock::Now());
+}
+
+bool Server::MayClose(base::Millis began_at) const {
+  const std::lock_guard lock(mutex_);
+  return connections_.MayClose(began_at, base::Clock::Now());
+}
+
+int Server::OnConnectionOpened(const mg_connection* connection, void** data) {
+  auto* self = static_cast<Server*>(mg_get_user_context_data(connection));
+  const std::lock_guard lock(self->mutex_);
+  self->connections_.Add(IdOf(connection), base::Clock::Now());
+  return 0;
+}
+
+void Server::OnConnectionClosed(const mg_connection* connection) {
+  auto* self = static_cast<Server*>(mg_get_user_context_data(connection));
+  const std::lock_guard lock(self->mutex_);
+  self->connections_.Remove(IdOf(connection), base::Clock::Now());
+}
+
 int Server::OnRequest(mg_connection* connection, void* server) {
   auto* self = static_cast<Server*>(server);
   const mg_request_info* info = mg_get_request_info(connection);
   ServerRequest request;
   request.method = info->request_method;
+  {
+    const std::lock_guard lock(self->mutex_);
+    self->connections_.BeginRequest(IdOf(connection), request.method == "GET"
+                                                          ? RequestKind::kQuery
+                                                          : RequestKind::kWork);
+  }
   request.path = info->local_uri;
   request.query = info->query_string == nullptr ? "" : info->query_string;
   for (int i = 0; i < info->num_headers; ++i) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -4,9 +4,11 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <mutex>
 #include <string>
 #include <string_view>
 
+#include "http/connection_table.h"
 #include "http/message.h"
 
 struct mg_connection;
@@ -70,11 +72,26 @@
   /// The port that the server listens on.
   int Port() const;
 
+  /// The number of requests that are being read, served or answered.
+  int64_t OpenRequests() const;
+
+  /// True if no request is open, expected soon or may wait for a thread.
+  bool IsIdle() const;
+
+  /// True if a server that began to stop at `began_at` may be destroyed without
+  /// a loss of requests; see ConnectionTable::MayClose().
+  bool MayClose(base::Millis began_at) const;
+
  private:
+  static int OnConnectionOpened(const mg_connection* connection, void** data);
+  static void OnConnectionClosed(const mg_connection* connection);
   static int OnRequest(mg_connection* connection, void* server);
 
   ServerOptions options_;
   Handler handler_;
+  // Guards `connections_`.
+  mutable std::mutex mutex_;
+  ConnectionTable connections_;
   mg_context* context_ = nullptr;
 };
 
