--- a/meta/entry_stop_test.py
+++ b/meta/entry_stop_test.py
@@ -14,7 +14,9 @@
 from cluster import Cluster
 
 THREADS = 4
-DRAIN_S = 8
+DRAIN_S = 3
+# After the drain time, and for the end of the process.
+HANDOVER_S, END_S = 3, 5
 # An instance with idle connections only must end before this.
 IDLE_STOP_S = 4
 
@@ -82,7 +84,7 @@
         first = answer.split("\r\n")[0]
         passed &= check(f"request {i} of {THREADS + 1} is answered: "
                         f"'{first}'", is_answered(answer))
-    status = entry.child.wait(DRAIN_S + 5)
+    status = entry.child.wait(DRAIN_S + HANDOVER_S + END_S)
     return passed & check(f"the stop cuts nothing: status {status}",
                           status == 0)
 
@@ -92,7 +94,7 @@
     idle = [connect(cluster.entry(1)) for _ in range(THREADS - 1)]
     time.sleep(0.3)
     began_at = time.monotonic()
-    status = entry.stop(DRAIN_S + 5)
+    status = entry.stop(DRAIN_S + HANDOVER_S + END_S)
     seconds = time.monotonic() - began_at
     for it in idle:
         it.close()
@@ -101,14 +103,30 @@
                  status == 0 and seconds < IDLE_STOP_S)
 
 
+# A request that is never whole is waited for, and its loss is not hidden.
+def test_cut_request_fails_the_stop(cluster):
+    entry = cluster.entries[2]
+    stalled = connect(cluster.entry(2))
+    head, body = generation_request(0)
+    stalled.sendall(head + body[:5])
+    time.sleep(0.3)
+    began_at = time.monotonic()
+    status = entry.stop(DRAIN_S + HANDOVER_S + END_S)
+    seconds = time.monotonic() - began_at
+    stalled.close()
+    return check(f"a request cut after {seconds:.1f} s gives status {status}",
+                 status == 1 and seconds >= DRAIN_S)
+
+
 def main():
-    cluster = Cluster(27800, entries=2, engines=1, services=0,
+    cluster = Cluster(27800, entries=3, engines=1, services=0,
                       threads=THREADS,
                       entry_lines=f"drain_bound_ms: {DRAIN_S * 1000}\n")
     try:
         cluster.start(cluster.write_intents())
         passed = test_requests_read_while_stopping_are_answered(cluster)
         passed &= test_idle_connections_do_not_delay_the_stop(cluster)
+        passed &= test_cut_request_fails_the_stop(cluster)
     finally:
         cluster.tear_down()
     print("entry_stop passed" if passed else "entry_stop FAILED")
