Close the connection after an error answer that says so

A target's error answer that was kept for want of a better one was relayed with the connection kept open, although its header could say Connection: close: while an instance stops, the caller's next request then met the end of that connection.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -654,8 +654,7 @@
     }
     if (!fallback_answer_.empty()) {
       LogAnswer(fallback_status_, reason);
-      co_return co_await WriteToCaller(fallback_answer_,
-                                       ConnectionReuse::kKeepOpen);
+      co_return co_await WriteToCaller(fallback_answer_, fallback_reuse_);
     }
     if (!is_ended_for_stop_ && TimeLeft() <= kMinimumSendTime &&
         send_tracker_->SendCount() > 0) {
@@ -1188,6 +1187,7 @@
       forwarder_->selector.OnErrorAnswer(placement.id, Clock::Now());
       fallback_answer_ = std::move(text);
       fallback_status_ = code;
+      fallback_reuse_ = reuse;
       if (route_->repeatability == catalog::Repeatability::kIdempotent) {
         co_return SendResult{SendOutcome::kUnknown, base::Reason::kErrorAnswer,
                              std::nullopt};
@@ -1561,6 +1561,7 @@
   /// answers without an error.
   std::string fallback_answer_;
   unsigned fallback_status_ = 0;
+  ConnectionReuse fallback_reuse_ = ConnectionReuse::kKeepOpen;
   /// The KV cache copy of an earlier run, from which the next send can resume.
   std::optional<RunCopy> run_copy_;
   /// The engine chosen to hold the KV cache copy of the send in progress.
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -325,6 +325,7 @@
   CPPUNIT_TEST(TestRouteTimeoutIsEnforced);
   CPPUNIT_TEST(TestStoppingInstanceRefusesRequestItCannotFinish);
   CPPUNIT_TEST(TestStoppingInstanceRefusesRunOnceCallItMayHaveToGiveUp);
+  CPPUNIT_TEST(TestConnectionIsClosedAfterAnErrorAnswerThatSaysSo);
   CPPUNIT_TEST(TestCallAtASlowTargetIsAnsweredBeforeTheInstanceStops);
   CPPUNIT_TEST(TestAnswerWithoutEndIsAnsweredBeforeTheInstanceStops);
   CPPUNIT_TEST(TestStreamWithoutEventIsAnsweredBeforeTheInstanceStops);
@@ -870,6 +871,21 @@
     EXPECT_EQ(std::string("200"), RequestStatus("GET", "/safe/a"));
   }
 
+  void TestConnectionIsClosedAfterAnErrorAnswerThatSaysSo() {
+    AddTarget([](LoopbackConnection& connection, const std::string& header) {
+      return connection.Send(
+          MakeAnswer(500, HeaderField(header, "Request-Id"), ""));
+    });
+    instance_->BeginStop(kRouteTimeout * 5);
+    Caller caller(instance_->Port());
+    caller.SendRequest("GET", "/safe/a", "r1");
+    const std::string header =
+        caller.connection->ReadUntil("\r\n\r\n", kReadTimeoutMs);
+    EXPECT(header.starts_with("HTTP/1.1 500 "));
+    EXPECT_EQ(std::string("close"), HeaderField(header, "Connection"));
+    EXPECT(caller.connection->ClosesWithin(kStopLagMs));
+  }
+
   void TestCallAtASlowTargetIsAnsweredBeforeTheInstanceStops() {
     AddTarget([](LoopbackConnection& connection, const std::string&) {
       return connection.ReadUntil("", kReadTimeoutMs).empty();
