Close the port of an entry instance as soon as it has drained

The reconciler of targets ended between the last look at open requests and the close of the port, up to 0.1 s and a call to a target later; requests of that time were not seen by the invariant. Now the server is destroyed first.

--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -94,8 +94,9 @@
     const daisypond::peer::PeerServer peers(
         settings.peer_listen,
         daisypond::entry::PeerServerCredentials(settings.tls), dependencies);
-    daisypond::entry::Server server(&instance, &control_plane);
     const daisypond::entry::TargetStateReconciler reconciler(&instance);
+    // Destroyed first: its port closes as soon as it has drained.
+    daisypond::entry::Server server(&instance, &control_plane);
     if (!peers.IsRunning() || !server.IsRunning()) {
       Log(LogLevel::kError, "cannot_listen",
           {{"listen", settings.listen}, {"peer_listen", settings.peer_listen}});
