--- a/meta/partitioned_stand_ins.py
+++ b/meta/partitioned_stand_ins.py
@@ -6,32 +6,25 @@
 All stand-ins of a cluster run in one event loop.
 """
 import asyncio
-import base64
 import collections
 import contextlib
 import dataclasses
 import enum
 import json
 import os
-import pathlib
 import socket
 import struct
 import subprocess
 import time
 import urllib.parse
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-BUILD = pathlib.Path(os.environ.get("DAISYPOND_BUILD", ROOT / "build"))
-HOST = "127.0.0.1"
+from forwarding_stand_ins import BUILD, HOST, encode
+
 BACKLOG = 256
 READ_BYTES = 65536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-def encode(value):
-    return base64.b64encode(json.dumps(value).encode()).decode()
-
-
 @dataclasses.dataclass
 class Head:
     """First line and header of a request or an answer; names in lower case."""
