Store the software of streams in the table service while versions change

Besides, a version that had been replaced before the instances saw both side by side was recorded nowhere: after a restart the new version passed for the only one, and streams of the old one could have been joined with it (the new test of VersionHistory failed first).

Change: the recent versions of each service are recorded, written only when they change; an instance that starts trusts a single version only if it is the recorded one. Groups over 16 leave the writing to two members. TestRecordedReleaseIsKnown- AfterARestart took a missing record for 'no release': it now has to be unknown.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -73,9 +73,13 @@
   kConfigurationsUnreadable,
   /// Connections to targets that were opened through a peer.
   kTunnelsOpened,
+  /// Records of streams written to the table service.
+  kStreamRecordsStored,
+  /// Rows of this system's own tables that could not be decoded.
+  kRecordsUnreadable,
 };
 
-inline constexpr NameTable<Counter, 32> kCounterNames(
+inline constexpr NameTable<Counter, 34> kCounterNames(
     "requests_total",
     "generations_total",
     "tokens_relayed_total",
@@ -107,7 +111,9 @@
     "copies_on_demand_total",
     "targets_unreadable_total",
     "configurations_unreadable_total",
-    "tunnels_opened_total");
+    "tunnels_opened_total",
+    "stream_records_stored_total",
+    "records_unreadable_total");
 
 /// Latency histograms, in milliseconds.
 enum class Timer : uint8_t {
--- a/src/catalog/row.h
+++ b/src/catalog/row.h
@@ -2,6 +2,7 @@
 #define DAISYPOND_CATALOG_ROW_H_
 
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -22,6 +23,9 @@
   bool is_removed = false;
 };
 
+/// Maximum number of rows that one transaction writes or removes.
+inline constexpr size_t kMaximumRowsPerWrite = 100;
+
 struct RowPage {
   std::vector<Row> rows;
   /// True when the table has further rows after those of this page.
--- a/src/forward/find_stream_origin.cc
+++ b/src/forward/find_stream_origin.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Longer than the calls to peers may take.
-constexpr base::Millis kTimeout{350};
+// Longer than the calls to peers and a read of the table service usually take.
+constexpr base::Millis kTimeout{900};
 
 }  // namespace
 
--- a/src/forward/stream_record.h
+++ b/src/forward/stream_record.h
@@ -22,13 +22,15 @@
   kUnknown,
   /// The instance that served the stream has recorded it.
   kRecord,
+  /// An instance that is gone has stored it in the table service.
+  kStoredRecord,
   /// An instance has seen no other version of the service for as long as a
   /// stream can last.
   kOnlyVersion,
 };
 
-inline constexpr base::NameTable<VersionSource, 3>
-    kVersionSourceNames("unknown", "record", "only_version");
+inline constexpr base::NameTable<VersionSource, 4>
+    kVersionSourceNames("unknown", "record", "stored_record", "only_version");
 
 /// The answer to the question which version began a stream.
 struct StreamOrigin {
--- a/src/forward/version_history.cc
+++ b/src/forward/version_history.cc
@@ -17,63 +17,61 @@
   for (const auto& it : targets) {
     const catalog::Target& target = it.second;
     ServiceHistory& history =
-        services_.try_emplace(target.service, ServiceHistory{now, {}})
+        services_.try_emplace(target.service, ServiceHistory{now, false, {}})
             .first->second;
     history.versions[target.version] = {now, true};
   }
   for (auto& service : services_) {
-    std::erase_if(service.second.versions, [&](const auto& it) {
-      return !it.second.is_listed &&
-             now - it.second.last_listed_at >= kLongestStream;
-    });
+    std::erase_if(service.second.versions,
+                  [&](const auto& it) { return !IsRecent(it.second, now); });
   }
 }
 
+void VersionHistory::OnRecordsRead(const ServiceVersions& recorded,
+                                   base::Millis now) {
+  for (const auto& service : recorded) {
+    ServiceHistory& history =
+        services_.try_emplace(service.first, ServiceHistory{now, false, {}})
+            .first->second;
+    history.is_recorded = !service.second.empty();
+    for (const std::string& it : service.second) {
+      history.versions.try_emplace(it, Listed{now, false});
+    }
+  }
+}
+
+bool VersionHistory::IsRecent(const Listed& version, base::Millis now) {
+  return version.is_listed || now - version.last_listed_at < kLongestStream;
+}
+
 VersionCount VersionHistory::Count(const std::string& service,
-                                   base::Millis now,
-                                   base::Millis unix_now) const {
+                                   base::Millis now) const {
   const auto found = services_.find(service);
   if (found == services_.end()) {
     return VersionCount::kUnknown;
   }
   const ServiceHistory& history = found->second;
-  const auto n_versions = std::count_if(
-      history.versions.begin(), history.versions.end(), [&](const auto& it) {
-        return it.second.is_listed ||
-               now - it.second.last_listed_at < kLongestStream;
-      });
+  const auto n_versions =
+      std::count_if(history.versions.begin(), history.versions.end(),
+                    [&](const auto& it) { return IsRecent(it.second, now); });
   if (n_versions != 1) {
     return n_versions > 1 ? VersionCount::kSeveral : VersionCount::kUnknown;
   }
-  if (now - history.observed_since >= kLongestStream) {
-    return VersionCount::kOne;
-  }
-  if (!last_several_at_) {
-    return VersionCount::kUnknown;
-  }
-  const auto it = last_several_at_->find(service);
-  const bool had_several =
-      it != last_several_at_->end() &&
-      unix_now - it->second < kLongestStream + kRecordSlack;
-  return had_several ? VersionCount::kSeveral : VersionCount::kOne;
-}
-
-void VersionHistory::OnReleasesRead(
-    std::map<std::string, base::Millis> last_several_at) {
-  last_several_at_ = std::move(last_several_at);
+  const bool is_certain =
+      history.is_recorded || now - history.observed_since >= kLongestStream;
+  return is_certain ? VersionCount::kOne : VersionCount::kUnknown;
 }
 
-std::vector<std::string> VersionHistory::ServicesWithSeveralVersions() const {
-  std::vector<std::string> services;
+ServiceVersions VersionHistory::RecentVersions(base::Millis now) const {
+  ServiceVersions recent;
   for (const auto& service : services_) {
-    const auto n = std::count_if(
-        service.second.versions.begin(), service.second.versions.end(),
-        [](const auto& it) { return it.second.is_listed; });
-    if (n > 1) {
-      services.push_back(service.first);
+    for (const auto& it : service.second.versions) {
+      if (IsRecent(it.second, now)) {
+        recent[service.first].insert(it.first);
+      }
     }
   }
-  return services;
+  return recent;
 }
 
 std::optional<std::string> VersionHistory::LatestVersion(
--- a/src/forward/version_history.h
+++ b/src/forward/version_history.h
@@ -4,8 +4,8 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
-#include <vector>
 
 #include "base/clock.h"
 #include "base/name_table.h"
@@ -25,29 +25,31 @@
                                                                      "one",
                                                                      "several");
 
+/// Software versions by service.
+using ServiceVersions = std::map<std::string, std::set<std::string>>;
+
 /// Remembers which software versions of each service were listed in the
 /// catalog. Reads no clock; all methods get the time as an argument.
 class VersionHistory {
  public:
   /// A stream that is taken up again began within this time.
   static constexpr base::Millis kLongestStream{30'000};
-  /// How long several versions may go unrecorded by a living instance. Covers
-  /// the period of the records and clocks that differ by seconds.
-  static constexpr base::Millis kRecordSlack{30'000};
 
   void OnTargets(const catalog::Targets& targets, base::Millis now);
 
-  /// Adds what all instances have recorded until this one started: by service,
-  /// the Unix time at which several versions were last listed.
-  void OnReleasesRead(std::map<std::string, base::Millis> last_several_at);
+  /// Adds the versions that earlier instances have recorded, see
+  /// RecentVersions(). When they were last listed is not known, so they count
+  /// as listed until `now`.
+  void OnRecordsRead(const ServiceVersions& recorded, base::Millis now);
 
-  /// Returns how many versions could have begun a stream of the service.
-  VersionCount Count(const std::string& service,
-                     base::Millis now,
-                     base::Millis unix_now) const;
+  /// Returns how many versions could have begun a stream of the service. A
+  /// single version is certain only if this instance has observed the service
+  /// for kLongestStream or an earlier instance has recorded the version: a
+  /// service without a record may have had any other version before.
+  VersionCount Count(const std::string& service, base::Millis now) const;
 
-  /// Returns the services of which several versions are listed at present.
-  std::vector<std::string> ServicesWithSeveralVersions() const;
+  /// Returns the versions of each service that could have begun a stream.
+  ServiceVersions RecentVersions(base::Millis now) const;
 
   /// Returns the version that was listed last, if any; with several, any of
   /// them.
@@ -60,12 +62,13 @@
   };
   struct ServiceHistory {
     base::Millis observed_since;
+    bool is_recorded = false;
     std::map<std::string, Listed> versions;
   };
 
+  static bool IsRecent(const Listed& version, base::Millis now);
+
   std::map<std::string, ServiceHistory> services_;
-  /// Empty until the records have been read.
-  std::optional<std::map<std::string, base::Millis>> last_several_at_;
 };
 
 }  // namespace daisypond::forward
--- a/src/forward/version_history_test.cc
+++ b/src/forward/version_history_test.cc
@@ -12,8 +12,6 @@
 
 using base::Millis;
 
-constexpr Millis kUnixNow{1'000'000};
-
 catalog::Target MakeTarget(const std::string& id, const std::string& version) {
   catalog::Target target;
   target.id = id;
@@ -27,6 +25,8 @@
   CPPUNIT_TEST(TestVersionThatLeftMayHaveBegunAStream);
   CPPUNIT_TEST(TestObservationMustCoverTheLongestStream);
   CPPUNIT_TEST(TestRecordedReleaseIsKnownAfterARestart);
+  CPPUNIT_TEST(TestVersionReplacedBeforeAllInstancesRestartIsKnown);
+  CPPUNIT_TEST(TestVersionReplacedWhileNoInstanceRanIsKnown);
   CPPUNIT_TEST(TestRecordsExpireAndAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -37,36 +37,56 @@
     const auto v2 = MakeTarget("b", "v2");
     history.OnTargets({{"a", v1}}, {0});
     history.OnTargets({{"a", v1}, {"b", v2}}, {40'000});
-    EXPECT(history.Count("s", {40'000}, kUnixNow) == VersionCount::kSeveral);
-    EXPECT(history.ServicesWithSeveralVersions() ==
-           std::vector<std::string>{"s"});
+    EXPECT(history.Count("s", {40'000}) == VersionCount::kSeveral);
+    EXPECT_EQ(size_t{2}, history.RecentVersions({40'000})["s"].size());
     history.OnTargets({{"b", v2}}, {50'000});
-    EXPECT(history.ServicesWithSeveralVersions().empty());
-    EXPECT(history.Count("s", {79'999}, kUnixNow) == VersionCount::kSeveral);
-    EXPECT(history.Count("s", {80'000}, kUnixNow) == VersionCount::kOne);
+    EXPECT_EQ(size_t{2}, history.RecentVersions({79'999})["s"].size());
+    EXPECT_EQ(size_t{1}, history.RecentVersions({80'000})["s"].size());
+    EXPECT(history.Count("s", {79'999}) == VersionCount::kSeveral);
+    EXPECT(history.Count("s", {80'000}) == VersionCount::kOne);
     EXPECT_EQ(std::string("v2"), *history.LatestVersion("s"));
   }
 
   void TestObservationMustCoverTheLongestStream() {
     VersionHistory history;
-    EXPECT(history.Count("s", {0}, kUnixNow) == VersionCount::kUnknown);
+    EXPECT(history.Count("s", {0}) == VersionCount::kUnknown);
     history.OnTargets({{"a", MakeTarget("a", "v1")}}, {0});
-    EXPECT(history.Count("s", VersionHistory::kLongestStream - Millis{1},
-                         kUnixNow) == VersionCount::kUnknown);
-    EXPECT(history.Count("s", VersionHistory::kLongestStream, kUnixNow) ==
+    EXPECT(history.Count("s", VersionHistory::kLongestStream - Millis{1}) ==
+           VersionCount::kUnknown);
+    EXPECT(history.Count("s", VersionHistory::kLongestStream) ==
            VersionCount::kOne);
   }
 
   void TestRecordedReleaseIsKnownAfterARestart() {
     VersionHistory history;
     history.OnTargets({{"a", MakeTarget("a", "v1")}}, {0});
-    EXPECT(history.Count("s", {1}, kUnixNow) == VersionCount::kUnknown);
-    history.OnReleasesRead({});
-    EXPECT(history.Count("s", {1}, kUnixNow) == VersionCount::kOne);
-    history.OnReleasesRead({{"s", kUnixNow - Millis{20'000}}});
-    EXPECT(history.Count("s", {1}, kUnixNow) == VersionCount::kSeveral);
-    EXPECT(history.Count("s", {1}, kUnixNow + Millis{40'000}) ==
-           VersionCount::kOne);
+    EXPECT(history.Count("s", {1}) == VersionCount::kUnknown);
+    history.OnRecordsRead({}, {1});
+    EXPECT(history.Count("s", {1}) == VersionCount::kUnknown);
+    history.OnRecordsRead({{"s", {"v1"}}}, {1});
+    EXPECT(history.Count("s", {1}) == VersionCount::kOne);
+    history.OnRecordsRead({{"s", {"v1", "v2"}}}, {20'000});
+    EXPECT(history.Count("s", {49'999}) == VersionCount::kSeveral);
+    EXPECT(history.Count("s", {50'000}) == VersionCount::kOne);
+  }
+
+  void TestVersionReplacedBeforeAllInstancesRestartIsKnown() {
+    VersionHistory before;
+    before.OnTargets({{"a", MakeTarget("a", "v1")}}, {0});
+    before.OnTargets({{"b", MakeTarget("b", "v2")}}, {40'000});
+    VersionHistory after;
+    after.OnTargets({{"b", MakeTarget("b", "v2")}}, {0});
+    after.OnRecordsRead(before.RecentVersions({40'001}), {1});
+    EXPECT(after.Count("s", {1}) == VersionCount::kSeveral);
+  }
+
+  void TestVersionReplacedWhileNoInstanceRanIsKnown() {
+    VersionHistory before;
+    before.OnTargets({{"a", MakeTarget("a", "v1")}}, {0});
+    VersionHistory after;
+    after.OnRecordsRead(before.RecentVersions({1}), {0});
+    after.OnTargets({{"b", MakeTarget("b", "v2")}}, {1});
+    EXPECT(after.Count("s", {1}) == VersionCount::kSeveral);
   }
 
   void TestRecordsExpireAndAreBounded() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,6 +28,7 @@
 #include "gateway/settings.h"
 #include "gateway/status_server.h"
 #include "gateway/stop_schedule.h"
+#include "gateway/stream_record_store.h"
 #include "gateway/tunnel_target.h"
 #include "net/address.h"
 #include "tunnel/server.h"
@@ -53,15 +54,24 @@
         configuration_reader_(control_.get_executor(), settings.store),
         target_reader_(control_.get_executor(), settings.store),
         release_reader_(control_.get_executor(), settings.store),
+        stream_record_writer_(control_.get_executor(), settings.store),
         configuration_watcher_(&configuration_reader_,
                                {.table = Format::kConfigurationTable},
                                MakeConfigurationWatcherCallbacks()),
         target_watcher_(&target_reader_,
                         {.table = Format::kTargetTable},
                         MakeTargetWatcherCallbacks()),
+        stream_record_reader_(control_.get_executor(), settings.store),
         release_records_(&release_reader_,
                          Format::kReleaseTable,
+                         &metrics_,
                          MakeReleaseCallbacks()),
+        stream_record_store_(
+            &stream_record_writer_,
+            &stream_record_reader_,
+            Format::kStreamTable,
+            &metrics_,
+            [this] { return peer_link_->StreamRecords().IsCleaner(); }),
         acceptor_(traffic_),
         tunnel_server_(traffic_.get_executor(),
                        [this](const tunnel::ConnectRequest& it) {
@@ -149,11 +159,21 @@
     if (!peer_link_->IsRunning()) {
       return false;
     }
+    peer_link_->StreamRecords().SetStorage(
+        {[this](const std::string& id, const forward::StreamRecord& record) {
+           stream_record_store_.Add(id, record);
+         },
+         [this](
+             const std::string& id,
+             std::function<void(std::optional<forward::StreamRecord>)> done) {
+           stream_record_store_.Find(id, std::move(done));
+         }});
     asio::co_spawn(traffic_, AcceptConnections(), asio::detached);
     asio::co_spawn(traffic_, RunMaintenance(), asio::detached);
     asio::co_spawn(control_, configuration_watcher_.Run(), asio::detached);
     asio::co_spawn(control_, target_watcher_.Run(), asio::detached);
     asio::co_spawn(control_, release_records_.Run(), asio::detached);
+    asio::co_spawn(control_, stream_record_store_.Run(), asio::detached);
     StartPeriodicTask(kDropMissingTargetsPeriod,
                       [this] { catalog_source_.DropMissingTargets(); });
     StartPeriodicTask(peer::MembershipProtocol::kProbePeriod,
@@ -275,12 +295,10 @@
 
   typename ReleaseRecords<typename Format::Reader>::Callbacks
   MakeReleaseCallbacks() {
-    return {[this](std::map<std::string, base::Millis> last_several_at) {
-              metrics_.Add(base::Counter::kStoreCalls);
-              peer_link_->StreamRecords().OnReleasesRead(
-                  std::move(last_several_at));
+    return {[this](const forward::ServiceVersions& recorded) {
+              peer_link_->StreamRecords().OnReleasesRead(recorded);
             },
-            [this] { return peer_link_->StreamRecords().ReleasesToRecord(); }};
+            [this] { return peer_link_->StreamRecords().VersionsToRecord(); }};
   }
 
   /// Returns how long the next call to the table service may wait for a change
@@ -630,9 +648,12 @@
   typename Format::Reader configuration_reader_;
   typename Format::Reader target_reader_;
   typename Format::Reader release_reader_;
+  typename Format::Reader stream_record_writer_;
+  typename Format::Reader stream_record_reader_;
   catalog::TableWatcher<typename Format::Reader> configuration_watcher_;
   catalog::TableWatcher<typename Format::Reader> target_watcher_;
   ReleaseRecords<typename Format::Reader> release_records_;
+  StreamRecordStore<typename Format::Reader> stream_record_store_;
   net::Tcp::acceptor acceptor_;
   tunnel::Server tunnel_server_;
   /// Of the traffic thread: true while this instance has no direct path to the
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -181,8 +181,9 @@
     loop_.Post([this, targets] { link_->StreamRecords().OnTargets(targets); });
   }
 
-  void SetNoReleases() {
-    loop_.Post([this] { link_->StreamRecords().OnReleasesRead({}); });
+  void SetRecordedVersions(const forward::ServiceVersions& recorded) {
+    loop_.Post(
+        [this, recorded] { link_->StreamRecords().OnReleasesRead(recorded); });
   }
 
   forward::StreamOrigin FindStream(const std::string& id) {
@@ -362,7 +363,9 @@
     target.version = "v1";
     b.SetTargets({{"t1", target}});
     EXPECT(a.FindStream("s1").source == forward::VersionSource::kUnknown);
-    b.SetNoReleases();
+    b.SetRecordedVersions({});
+    EXPECT(a.FindStream("s1").source == forward::VersionSource::kUnknown);
+    b.SetRecordedVersions({{"llm", {"v1"}}});
     const forward::StreamOrigin origin = a.FindStream("s1");
     EXPECT(origin.source == forward::VersionSource::kOnlyVersion);
     EXPECT_EQ(std::string("v1"), origin.record.version);
--- a/src/gateway/release_records.h
+++ b/src/gateway/release_records.h
@@ -1,9 +1,10 @@
 #ifndef DAISYPOND_GATEWAY_RELEASE_RECORDS_H_
 #define DAISYPOND_GATEWAY_RELEASE_RECORDS_H_
 
-#include <charconv>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,45 +13,53 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/metrics.h"
 #include "catalog/row.h"
+#include "forward/version_history.h"
+#include "gateway/release_record.h"
 #include "net/timed_socket.h"
 
 namespace daisypond::gateway {
 
-/// Keeps in the table service when several software versions of a service were
-/// last listed. Instances that start read it, so that they know which version
-/// began a stream when no instance is left that remembers. Runs on the control
-/// thread.
+/// Keeps the recent software versions of each service in the table service.
+/// Instances that start read it, so that they know whether another version may
+/// have begun a stream when no instance is left that remembers. A record is
+/// written only when the versions have changed. Runs on the control thread.
 template <typename Reader>
 class ReleaseRecords {
  public:
-  /// How often the record of a release is renewed.
-  static constexpr base::Millis kRenewalPeriod{10'000};
-
   struct Callbacks {
     /// Called once, when the records have been read.
-    std::function<void(std::map<std::string, base::Millis>)> on_read;
-    /// Returns the services of which this instance is to record a release.
-    std::function<std::vector<std::string>()> releases_to_record;
+    std::function<void(const forward::ServiceVersions&)> on_read;
+    /// Returns what this instance is to keep recorded.
+    std::function<forward::ServiceVersions()> versions_to_record;
   };
 
-  ReleaseRecords(Reader* reader, std::string table, Callbacks callbacks)
+  ReleaseRecords(Reader* reader,
+                 std::string table,
+                 base::Metrics* metrics,
+                 Callbacks callbacks)
       : reader_(reader),
         table_(std::move(table)),
+        metrics_(metrics),
         callbacks_(std::move(callbacks)) {}
 
   /// Runs until the io_context stops.
   boost::asio::awaitable<void> Run() {
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
-    bool is_read = false;
+    const base::Millis settled_at = base::Clock::Now() + kSettlingTime;
     while (true) {
-      if (!is_read) {
-        is_read = co_await Read();
+      if (!is_read_) {
+        is_read_ = co_await Read();
       }
-      for (const std::string& it : callbacks_.releases_to_record()) {
-        base::Millis& next_at = next_record_at_[it];
-        if (base::Clock::Now() >= next_at && co_await Record(it)) {
-          next_at = base::Clock::Now() + kRenewalPeriod;
+      if (is_read_) {
+        const forward::ServiceVersions wanted = callbacks_.versions_to_record();
+        for (const auto& it : wanted) {
+          const bool is_urgent = it.second.size() > 1;
+          if (recorded_[it.first] != it.second &&
+              (is_urgent || base::Clock::Now() >= settled_at)) {
+            co_await Record(it.first, it.second);
+          }
         }
       }
       timer.expires_after(kCheckPeriod.ToChrono());
@@ -62,8 +71,12 @@
   // Callers take streams up again within a second or two after all instances
   // have restarted.
   static constexpr base::Millis kCheckPeriod{500};
+  // Time after the start in which instances that start together find each
+  // other, so that one of them writes the first records.
+  static constexpr base::Millis kSettlingTime{4000};
 
   boost::asio::awaitable<bool> Read() {
+    metrics_->Add(base::Counter::kStoreCalls);
     const catalog::TableReadResult page =
         co_await reader_->ListRows(table_, "");
     if (!page) {
@@ -72,33 +85,46 @@
           {{"error", catalog::kTableReadErrorNames.NameOf(page.error())}});
       co_return false;
     }
-    std::map<std::string, base::Millis> last_several_at;
     for (const catalog::Row& it : page->rows) {
-      base::Millis& at = last_several_at[it.key];
-      std::from_chars(it.value.data(), it.value.data() + it.value.size(),
-                      at.count);
+      const auto versions = DecodeReleaseRecord(it.value);
+      if (versions) {
+        recorded_[it.key] = *versions;
+      } else {
+        metrics_->Add(base::Counter::kRecordsUnreadable);
+        base::Log(base::LogLevel::kWarning, "record_unreadable",
+                  {{"table", table_}, {"key", it.key}});
+      }
     }
     base::Log(base::LogLevel::kInfo, "releases_read",
-              {{"n", last_several_at.size()}});
-    callbacks_.on_read(std::move(last_several_at));
+              {{"n", recorded_.size()}});
+    callbacks_.on_read(recorded_);
     co_return true;
   }
 
-  boost::asio::awaitable<bool> Record(std::string service) {
-    catalog::Row row;
-    row.key = service;
-    row.value = std::to_string(base::Clock::UnixNow().count);
-    const bool is_written = co_await reader_->WriteRow(table_, std::move(row));
+  boost::asio::awaitable<void> Record(std::string service,
+                                      std::set<std::string> versions) {
+    metrics_->Add(base::Counter::kStoreCalls);
+    std::vector<catalog::Row> rows(1);
+    rows[0].key = service;
+    rows[0].value = EncodeReleaseRecord(versions, base::Clock::UnixNow());
+    const bool is_written =
+        co_await reader_->WriteRows(table_, std::move(rows));
     base::Log(base::LogLevel::kInfo, "release_recorded",
-              {{"service", service}, {"written", is_written}});
-    co_return is_written;
+              {{"service", service},
+               {"versions", versions.size()},
+               {"written", is_written}});
+    if (is_written) {
+      recorded_[service] = std::move(versions);
+    }
   }
 
   Reader* reader_;
   std::string table_;
+  base::Metrics* metrics_;
   Callbacks callbacks_;
-  /// By service.
-  std::map<std::string, base::Millis> next_record_at_;
+  bool is_read_ = false;
+  /// What the table holds as far as this instance knows.
+  forward::ServiceVersions recorded_;
 };
 
 }  // namespace daisypond::gateway
--- a/src/gateway/shared_stream_records.cc
+++ b/src/gateway/shared_stream_records.cc
@@ -7,6 +7,9 @@
 #include <utility>
 #include <vector>
 
+#include <fmt/format.h>
+
+#include "base/hash.h"
 #include "base/log.h"
 #include "gateway/shared_request_limit.h"
 #include "membership/copy_peers.h"
@@ -20,6 +23,13 @@
 constexpr size_t kRecordCopies = 2;
 // Timeout of a call to a peer, which allows several network round trips.
 constexpr base::Millis kCallTimeout{250};
+// In a group of up to this size, each instance stores its records itself. In a
+// larger group a few instances store the records of all, because many writers
+// with few records each would cost a call a record.
+constexpr size_t kMaximumWriters = 16;
+// Number of instances that store records in a large group.
+constexpr uint64_t kKeepers = 2;
+constexpr size_t kMaximumOwnRecords = 10'000;
 
 /// The search for the origin of a stream among the peers.
 struct Search {
@@ -55,6 +65,15 @@
   }
 };
 
+peer::RecordStreamRequest ToProto(const std::string& id,
+                                  const forward::StreamRecord& record) {
+  peer::RecordStreamRequest request;
+  request.set_id(id);
+  request.set_service(record.service);
+  request.set_version(record.version);
+  return request;
+}
+
 forward::StreamOrigin RecordedOrigin(const peer::FindStreamReply& reply) {
   return {forward::VersionSource::kRecord, {reply.service(), reply.version()}};
 }
@@ -77,10 +96,11 @@
 void SharedStreamRecords::Record(const std::string& id,
                                  const forward::StreamRecord& record) {
   records_.Add(id, record, base::Clock::Now());
-  peer::RecordStreamRequest request;
-  request.set_id(id);
-  request.set_service(record.service);
-  request.set_version(record.version);
+  AddOwnRecord(id, record);
+  if (stored_services_.contains(record.service)) {
+    Store(id, record);
+  }
+  const peer::RecordStreamRequest request = ToProto(id, record);
   const membership::PeerState& self = membership_->Table().Self();
   const auto ranked = membership::RankCopyPeers(
       id, {self.failure_domain, self.region}, membership_->Table().Reachable());
@@ -89,6 +109,50 @@
   }
 }
 
+void SharedStreamRecords::AddOwnRecord(const std::string& id,
+                                       const forward::StreamRecord& record) {
+  const base::Millis now = base::Clock::Now();
+  own_records_.push_back({now, id, record});
+  while (own_records_.size() > kMaximumOwnRecords ||
+         now - own_records_.front().added_at >=
+             forward::VersionHistory::kLongestStream) {
+    own_records_.pop_front();
+  }
+}
+
+void SharedStreamRecords::Store(const std::string& id,
+                                const forward::StreamRecord& record) {
+  const auto& table = membership_->Table();
+  const auto peers = table.Reachable();
+  const std::string keeper = SelectPermitHolder(
+      fmt::format("stream-records-{}", base::Hash(id) % kKeepers), table.Self(),
+      peers);
+  if (peers.size() >= kMaximumWriters && keeper != table.Self().address) {
+    peer::RecordStreamRequest request = ToProto(id, record);
+    request.set_is_to_be_stored(true);
+    client_->RecordStream(keeper, request, kCallTimeout);
+  } else if (storage_.add) {
+    storage_.add(id, record);
+  }
+}
+
+void SharedStreamRecords::StoreRecordsOfNewReleases() {
+  std::set<std::string> services;
+  for (const auto& it : history_.RecentVersions(base::Clock::Now())) {
+    if (it.second.size() > 1) {
+      services.insert(it.first);
+    }
+  }
+  for (const OwnRecord& it : own_records_) {
+    if (services.contains(it.record.service) &&
+        !stored_services_.contains(it.record.service)) {
+      Store(it.id, it.record);
+    }
+  }
+  has_seen_release_ |= !services.empty();
+  stored_services_ = std::move(services);
+}
+
 void SharedStreamRecords::Find(const std::string& id,
                                const std::string& service,
                                const OriginCallback& done) {
@@ -112,7 +176,20 @@
       membership::CopyLookupAddresses(id, membership_->Table().Reachable());
   search->n_asked = addresses.size();
   search->n_pending = addresses.size();
-  if (addresses.empty()) {
+  if (storage_.find && history_.Count(service, base::Clock::Now()) !=
+                           forward::VersionCount::kOne) {
+    ++search->n_pending;
+    storage_.find(id, [search, service, finish](
+                          const std::optional<forward::StreamRecord>& record) {
+      --search->n_pending;
+      if (record) {
+        finish({forward::VersionSource::kStoredRecord, *record});
+      } else if (search->n_pending == 0) {
+        finish(search->OnlyVersion(service));
+      }
+    });
+  }
+  if (search->n_pending == 0) {
     finish(search->OnlyVersion(service));
     return;
   }
@@ -142,26 +219,39 @@
 
 void SharedStreamRecords::OnTargets(const catalog::Targets& targets) {
   history_.OnTargets(targets, base::Clock::Now());
+  StoreRecordsOfNewReleases();
 }
 
 void SharedStreamRecords::OnReleasesRead(
-    std::map<std::string, base::Millis> last_several_at) {
-  history_.OnReleasesRead(std::move(last_several_at));
+    const forward::ServiceVersions& recorded) {
+  history_.OnRecordsRead(recorded, base::Clock::Now());
+  StoreRecordsOfNewReleases();
 }
 
-std::vector<std::string> SharedStreamRecords::ReleasesToRecord() const {
+forward::ServiceVersions SharedStreamRecords::VersionsToRecord() const {
   const auto& table = membership_->Table();
-  std::vector<std::string> services = history_.ServicesWithSeveralVersions();
-  std::erase_if(services, [&](const std::string& it) {
-    return SelectPermitHolder(it, table.Self(), table.Reachable()) !=
+  forward::ServiceVersions versions =
+      history_.RecentVersions(base::Clock::Now());
+  std::erase_if(versions, [&](const auto& it) {
+    return SelectPermitHolder(it.first, table.Self(), table.Reachable()) !=
            table.Self().address;
   });
-  return services;
+  return versions;
+}
+
+bool SharedStreamRecords::IsCleaner() const {
+  const auto& table = membership_->Table();
+  return has_seen_release_ &&
+         SelectPermitHolder("stream-records", table.Self(),
+                            table.Reachable()) == table.Self().address;
 }
 
 void SharedStreamRecords::AddRecord(const peer::RecordStreamRequest& request) {
-  records_.Add(request.id(), {request.service(), request.version()},
-               base::Clock::Now());
+  const forward::StreamRecord record{request.service(), request.version()};
+  records_.Add(request.id(), record, base::Clock::Now());
+  if (request.is_to_be_stored() && storage_.add) {
+    storage_.add(request.id(), record);
+  }
 }
 
 peer::FindStreamReply SharedStreamRecords::Answer(
@@ -175,8 +265,7 @@
     reply.set_version(record->version);
     return reply;
   }
-  const forward::VersionCount count =
-      history_.Count(request.service(), now, base::Clock::UnixNow());
+  const forward::VersionCount count = history_.Count(request.service(), now);
   reply.set_versions(static_cast<uint32_t>(count));
   const auto version = history_.LatestVersion(request.service());
   if (version) {
--- a/src/gateway/shared_stream_records.h
+++ b/src/gateway/shared_stream_records.h
@@ -1,11 +1,12 @@
 #ifndef DAISYPOND_GATEWAY_SHARED_STREAM_RECORDS_H_
 #define DAISYPOND_GATEWAY_SHARED_STREAM_RECORDS_H_
 
+#include <deque>
 #include <functional>
-#include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "base/clock.h"
 #include "forward/stream_record.h"
@@ -16,11 +17,23 @@
 
 namespace daisypond::gateway {
 
+/// Stores and finds records of streams in the table service.
+struct StreamRecordStorage {
+  std::function<void(const std::string& id, const forward::StreamRecord&)> add;
+  /// `done` is called once, with nothing if no record was found.
+  std::function<void(
+      const std::string& id,
+      std::function<void(std::optional<forward::StreamRecord>)> done)>
+      find;
+};
+
 /// Lets any instance find out which software version began a stream, so that a
 /// caller can take the stream up again at any instance, also when the instance
 /// that served it is dead. Each record is kept by the instance that served the
-/// stream and by a few peers. Without a record the version is known only if the
-/// service has had a single one for long enough. Runs on the control thread.
+/// stream and by a few peers. While a service has several versions, its records
+/// are also stored in the table service, where they outlive all instances.
+/// Without a record the version is known only if the service has had a single
+/// one for long enough. Runs on the control thread.
 class SharedStreamRecords {
  public:
   using OriginCallback = std::function<void(forward::StreamOrigin)>;
@@ -32,6 +45,11 @@
         client_(client),
         post_(std::move(post)) {}
 
+  /// Without a storage, records are kept by instances only.
+  void SetStorage(StreamRecordStorage storage) {
+    storage_ = std::move(storage);
+  }
+
   /// Records here and at a few peers that the attempt `id` got the first event
   /// of a stream.
   void Record(const std::string& id, const forward::StreamRecord& record);
@@ -45,13 +63,16 @@
   /// To be called with each new list of targets.
   void OnTargets(const catalog::Targets& targets);
 
-  /// To be called with what the instances have recorded of releases; see
-  /// VersionHistory::OnReleasesRead().
-  void OnReleasesRead(std::map<std::string, base::Millis> last_several_at);
+  /// To be called with the versions that earlier instances have recorded.
+  void OnReleasesRead(const forward::ServiceVersions& recorded);
 
-  /// Returns the services of which this instance is to record that several
-  /// versions are listed.
-  std::vector<std::string> ReleasesToRecord() const;
+  /// Returns the recent versions of the services whose versions this instance
+  /// is to record.
+  forward::ServiceVersions VersionsToRecord() const;
+
+  /// True if this instance is to remove the records that others have left in
+  /// the table service. There are none unless a service had several versions.
+  bool IsCleaner() const;
 
   /// Stores a record of a peer.
   void AddRecord(const peer::RecordStreamRequest& request);
@@ -59,11 +80,27 @@
   peer::FindStreamReply Answer(const peer::FindStreamRequest& request) const;
 
  private:
+  struct OwnRecord {
+    base::Millis added_at;
+    std::string id;
+    forward::StreamRecord record;
+  };
+
+  void Store(const std::string& id, const forward::StreamRecord& record);
+  void StoreRecordsOfNewReleases();
+  void AddOwnRecord(const std::string& id, const forward::StreamRecord& record);
+
   const peer::MembershipProtocol* membership_;
   peer::PeerClient* client_;
   std::function<void(std::function<void()>)> post_;
   forward::StreamRecordTable records_;
   forward::VersionHistory history_;
+  StreamRecordStorage storage_;
+  /// Records of streams that this instance served, oldest first.
+  std::deque<OwnRecord> own_records_;
+  /// Services whose records are being stored.
+  std::set<std::string> stored_services_;
+  bool has_seen_release_ = false;
 };
 
 }  // namespace daisypond::gateway
