Read the table service by one instance of each failure domain

Readers were off because DRAIN broke with them: an instance that changed its source adopted targets that the new source had read earlier, while the age said only when somebody had confirmed them (TestTargetsAreNotReplacedByThoseOfAn- EarlierTableVersion). Calls also waited up to 5 s on a connection that may be silent, longer than a leaving target may be used.

Change: in groups over 16 the members of a failure domain form a tree (fan-out 8); its root reads both tables and the others fetch changes from their parent. Targets are ordered by the version of the table service. Waits are shares of the bound for leaving targets. A follower whose targets are older than three quarters of it reads for itself; failed calls are repeated apart. A large configuration is read from the store by each. At the first start instances wait for each other before they read.

--- a/src/catalog/table_watcher.h
+++ b/src/catalog/table_watcher.h
@@ -36,12 +36,15 @@
 
 /// Callbacks of a TableWatcher, run on its thread.
 struct TableWatcherCallbacks {
-  /// Called with all rows after the complete table was read.
-  std::function<void(const std::vector<Row>&)> on_listed;
-  /// Called with the changed rows after each read that returned any.
-  std::function<void(const std::vector<Row>&)> on_changed;
-  /// Called after each successful read.
-  std::function<void()> on_available;
+  /// Called with all rows after the complete table was read, and the version
+  /// that was read.
+  std::function<void(const std::vector<Row>&, uint64_t version)> on_listed;
+  /// Called with the changed rows after each read that returned any, and the
+  /// version up to which these are all changes.
+  std::function<void(const std::vector<Row>&, uint64_t version)> on_changed;
+  /// Called after each successful read with the version that was read, before
+  /// the callback that gets the rows.
+  std::function<void(uint64_t version)> on_available;
   /// Called after each failed read, except for kHistoryGone.
   std::function<void(TableReadError)> on_unavailable;
   /// Returns how long the next call may wait for a change; empty when no call
@@ -91,12 +94,11 @@
     if (!result) {
       co_return HandleError(result.error());
     }
-    HandleSuccess();
-    version_ = result->version;
+    HandleSuccess(result->version);
     if (result->rows.empty()) {
       co_return base::Millis{0};
     }
-    callbacks_.on_changed(result->rows);
+    callbacks_.on_changed(result->rows, result->version);
     co_return options_.change_batch_delay;
   }
 
@@ -126,16 +128,16 @@
       // The response came from a replica that lags behind an earlier response.
       co_return HandleError(TableReadError::kOutdated);
     }
-    HandleSuccess();
-    version_ = version;
+    HandleSuccess(version);
     is_listed_ = true;
-    callbacks_.on_listed(rows);
+    callbacks_.on_listed(rows, version);
     co_return base::Millis{0};
   }
 
-  void HandleSuccess() {
+  void HandleSuccess(uint64_t version) {
+    version_ = version;
     backoff_ = options_.initial_backoff;
-    callbacks_.on_available();
+    callbacks_.on_available(version);
     if (is_unavailable_) {
       is_unavailable_ = false;
       base::Log(base::LogLevel::kInfo, "store_regained",
--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -33,13 +33,9 @@
   std::vector<std::string> removed;
   /// Time since the targets were last known to match the table service.
   base::Millis age;
-};
-
-/// Decides when targets received from a peer replace this instance's own.
-enum class PeerTargetsPolicy : uint8_t {
-  kAcceptIfNewer,
-  /// For a peer that reads the table service on behalf of this instance.
-  kAcceptAlways,
+  /// Version of the table service that the targets match. 0 if a peer of an
+  /// older build sent them.
+  uint64_t table_version = 0;
 };
 
 /// Maintains the current catalog from rows of the table service and from the
@@ -88,7 +84,13 @@
     on_catalog_(catalog_);
   }
 
-  void OnTargetsListed(const std::vector<catalog::Row>& rows) {
+  /// `version` is that of the table service when the rows were read.
+  void OnTargetsListed(const std::vector<catalog::Row>& rows,
+                       uint64_t version) {
+    if (version < table_version_) {
+      return;
+    }
+    table_version_ = version;
     catalog::Targets listed;
     for (const catalog::Row& it : rows) {
       if (auto target = DecodeTargetRow(it)) {
@@ -102,7 +104,14 @@
     }
   }
 
-  void OnTargetsChanged(const std::vector<catalog::Row>& rows) {
+  /// Applies all changes up to `version`. A call that waited while a peer sent
+  /// newer targets brings nothing new.
+  void OnTargetsChanged(const std::vector<catalog::Row>& rows,
+                        uint64_t version) {
+    if (version < table_version_) {
+      return;
+    }
+    table_version_ = version;
     std::vector<catalog::Target> decoded;
     decoded.reserve(rows.size());
     std::vector<catalog::TargetChange> changes;
@@ -123,9 +132,15 @@
     target_tracker_.OnTableServiceUnavailable();
   }
 
-  void OnTargetTableAnswered() {
-    targets_confirmed_at_ = base::Clock::Now();
-    target_tracker_.OnTableServiceAvailable(targets_confirmed_at_);
+  /// To be called when the table service has answered that there is no change
+  /// up to `version`, or after the changes up to it have been applied.
+  void OnTargetTableAnswered(uint64_t version) {
+    const base::Millis now = base::Clock::Now();
+    target_tracker_.OnTableServiceAvailable(now);
+    if (version >= table_version_) {
+      table_version_ = version;
+      targets_confirmed_at_ = now;
+    }
   }
 
   void OnConfigurationTableAnswered() {
@@ -160,22 +175,33 @@
   }
 
   /// Called when a peer reports that its targets have not changed since this
-  /// instance last fetched them from that peer. `age` is the time since the
-  /// peer's targets were last known to match the table service.
-  void OnPeerUnchanged(base::Millis age) { UpdateTargetsAge(age); }
+  /// instance last fetched them from that peer, or that it has none that are
+  /// newer. Without targets of its own, `peer` tells how old and of which
+  /// version they are.
+  void OnPeerUnchanged(const PeerCatalog& peer) {
+    if (peer.table_version >= table_version_) {
+      table_version_ = peer.table_version;
+      UpdateTargetsAge(peer.age);
+    }
+  }
 
   /// Adopts the peer's configuration if it is newer, and the peer's targets if
-  /// they are newer or `policy` accepts them always.
-  void OnPeerCatalog(const PeerCatalog& peer, PeerTargetsPolicy policy) {
+  /// they match a later version of the table service. An age alone does not
+  /// order targets: it tells when they were confirmed, by whoever has confirmed
+  /// them. Targets of an older build, which names no version, are adopted if
+  /// they are younger. Returns whether the targets were adopted.
+  bool OnPeerCatalog(const PeerCatalog& peer) {
     if (!peer.configuration.empty()) {
       OnConfigurationText(peer.configuration);
     }
     const std::optional<base::Millis> age = TargetsAge();
-    const bool is_newer = !age || peer.age < *age;
-    if (!peer.targets ||
-        (!is_newer && policy == PeerTargetsPolicy::kAcceptIfNewer)) {
-      return;
+    const bool is_newer = peer.table_version == 0 || table_version_ == 0
+                              ? !age || peer.age < *age
+                              : peer.table_version > table_version_;
+    if (!peer.targets || !is_newer) {
+      return false;
     }
+    table_version_ = std::max(table_version_, peer.table_version);
     UpdateTargetsAge(peer.age);
     catalog::Targets listed = *peer.targets;
     if (peer.is_delta) {
@@ -189,8 +215,12 @@
         catalog_.targets == nullptr) {
       PublishTargets("peer");
     }
+    return true;
   }
 
+  /// Version of the table service that the targets match; 0 if unknown.
+  uint64_t TableVersion() const { return table_version_; }
+
   /// Identifies the current set of targets: changes whenever the set changes.
   uint64_t TargetsRevision() const { return targets_revision_; }
 
@@ -330,6 +360,7 @@
   std::string configuration_text_;
   // When the targets were last known to match the table service.
   base::Millis targets_confirmed_at_;
+  uint64_t table_version_ = 0;
   bool is_configuration_table_unavailable_ = false;
   // Starts at a random number so that a revision that another process issued is
   // not mistaken for one that this process issued.
--- /dev/null
+++ b/src/gateway/catalog_tree.cc
@@ -0,0 +1,53 @@
+#include "gateway/catalog_tree.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace daisypond::gateway {
+
+namespace {
+
+base::Millis Percent(base::Millis bound, int64_t percent) {
+  return {bound.count * percent / 100};
+}
+
+}  // namespace
+
+CatalogTimes::CatalogTimes(base::Millis bound)
+    : reader_wait(Percent(bound, 40)),
+      direct_wait(bound),
+      peer_wait(Percent(bound, 10)),
+      maximum_age(Percent(bound, 75)),
+      retry_pause(bound) {}
+
+CatalogPlace FindCatalogPlace(const membership::PeerState& self,
+                              const std::vector<membership::PeerState>& peers,
+                              size_t direct_group) {
+  CatalogPlace place;
+  if (peers.size() < direct_group) {
+    return place;
+  }
+  std::vector<std::pair<uint64_t, std::string>> ranked;
+  ranked.emplace_back(base::Hash(self.instance), self.address);
+  for (const membership::PeerState& it : peers) {
+    if (it.failure_domain == self.failure_domain &&
+        it.status != membership::PeerStatus::kLeaving) {
+      ranked.emplace_back(base::Hash(it.instance), it.address);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  const auto own =
+      std::find_if(ranked.begin(), ranked.end(),
+                   [&](const auto& it) { return it.second == self.address; });
+  auto position = static_cast<size_t>(own - ranked.begin());
+  place.role = position == 0 ? CatalogRole::kReader : CatalogRole::kFollower;
+  while (position > 0) {
+    position = (position - 1) / kCatalogFanOut;
+    place.sources.push_back(ranked[position].second);
+  }
+  return place;
+}
+
+}  // namespace daisypond::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -242,52 +242,51 @@
   static constexpr base::Millis kDropMissingTargetsPeriod{200};
   // Losses come in groups; one message tells peers of several.
   static constexpr base::Millis kShareDelay{50};
-  // How long a call to the table service waits for a change of the targets if
-  // this instance reads them for its peers. Each answer confirms the targets,
-  // so the wait must stay well below PeerLink::kMaximumFreshAge. A short wait
-  // also detects an unresponsive connection sooner.
-  static constexpr base::Millis kReaderLongPoll{1000};
-  // How long all other calls to the table service wait for a change.
-  static constexpr base::Millis kDefaultLongPoll{5000};
-  // When the targets received from peers are older than this, this instance
-  // reads them from the table service itself. This age is half of the time
-  // within which a leaving target must stop receiving requests; the other half
-  // remains for that read.
-  static constexpr base::Millis kMaximumPeerTargetsAge{2200};
+  // A larger configuration is read from the table service by each instance: the
+  // link of an instance that passes it on to several peers would be busy for
+  // longer than a stream may pause.
+  static constexpr size_t kMaximumPeerConfigurationBytes = 32u << 10;
+  // At the first start of the system, instances find each other in this time
+  // before they read the table service. One that has found no catalog after
+  // kMaximumJoinTime reads it in any case.
+  static constexpr base::Millis kJoinTime{1500};
+  static constexpr base::Millis kMaximumJoinTime{4000};
 
   catalog::TableWatcherCallbacks MakeConfigurationWatcherCallbacks() {
     catalog::TableWatcherCallbacks callbacks;
-    callbacks.on_listed = [this](const auto& rows) {
+    callbacks.on_listed = [this](const auto& rows, uint64_t) {
       catalog_source_.OnConfigurationRows(rows);
     };
     callbacks.on_changed = callbacks.on_listed;
-    callbacks.on_available = [this] {
+    callbacks.on_available = [this](uint64_t) {
       metrics_.Add(base::Counter::kStoreCalls);
       catalog_source_.OnConfigurationTableAnswered();
     };
     callbacks.on_unavailable = [this](catalog::TableReadError) {
       metrics_.Add(base::Counter::kStoreCalls);
       catalog_source_.OnConfigurationTableUnavailable();
+      OnReadFailed();
     };
-    callbacks.next_wait = [] { return kDefaultLongPoll; };
+    callbacks.next_wait = [this] { return NextConfigurationLongPoll(); };
     return callbacks;
   }
 
   catalog::TableWatcherCallbacks MakeTargetWatcherCallbacks() {
     catalog::TableWatcherCallbacks callbacks;
-    callbacks.on_listed = [this](const auto& rows) {
-      catalog_source_.OnTargetsListed(rows);
+    callbacks.on_listed = [this](const auto& rows, uint64_t version) {
+      catalog_source_.OnTargetsListed(rows, version);
     };
-    callbacks.on_changed = [this](const auto& rows) {
-      catalog_source_.OnTargetsChanged(rows);
+    callbacks.on_changed = [this](const auto& rows, uint64_t version) {
+      catalog_source_.OnTargetsChanged(rows, version);
     };
-    callbacks.on_available = [this] {
+    callbacks.on_available = [this](uint64_t version) {
       metrics_.Add(base::Counter::kStoreCalls);
-      catalog_source_.OnTargetTableAnswered();
+      catalog_source_.OnTargetTableAnswered(version);
     };
     callbacks.on_unavailable = [this](catalog::TableReadError) {
       metrics_.Add(base::Counter::kStoreCalls);
       catalog_source_.OnTargetTableUnavailable();
+      OnReadFailed();
     };
     callbacks.next_wait = [this] { return NextTargetLongPoll(); };
     return callbacks;
@@ -301,24 +300,71 @@
             [this] { return peer_link_->StreamRecords().VersionsToRecord(); }};
   }
 
+  void OnReadFailed() {
+    // Instances that follow others and lose the table service together do not
+    // return to it together.
+    const int64_t pause = times_.retry_pause.count;
+    read_again_at_ =
+        base::Clock::Now() +
+        base::Millis{pause / 2 +
+                     static_cast<int64_t>(base::RandomNumber() %
+                                          static_cast<uint64_t>(pause))};
+  }
+
+  /// True while this instance waits for others of a system that starts for the
+  /// first time.
+  bool IsJoining() const {
+    const base::Millis age = base::Clock::Now() - started_at_;
+    if (!settings_.is_first_start || age >= kMaximumJoinTime) {
+      return false;
+    }
+    return age < kJoinTime || peer_link_->Role() == CatalogRole::kFollower;
+  }
+
+  /// True if this instance follows others and their targets are young enough.
+  bool IsServedByPeers() const {
+    if (peer_link_->Role() != CatalogRole::kFollower) {
+      return false;
+    }
+    const std::optional<base::Millis> age = catalog_source_.TargetsAge();
+    return age &&
+           (*age <= times_.maximum_age || base::Clock::Now() < read_again_at_);
+  }
+
   /// Returns how long the next call to the table service may wait for a change
   /// of the targets. Returns nothing while this instance gets its targets from
   /// peers instead of the table service.
   std::optional<base::Millis> NextTargetLongPoll() const {
-    const std::optional<base::Millis> age = catalog_source_.TargetsAge();
-    if (!age || *age > kMaximumPeerTargetsAge) {
-      return kDefaultLongPoll;
+    if (IsJoining() || IsServedByPeers()) {
+      return std::nullopt;
     }
-    if (!peer_link_->IsTableReader()) {
+    switch (peer_link_->Role()) {
+      case CatalogRole::kDirect:
+        return times_.direct_wait;
+      case CatalogRole::kReader:
+        return times_.reader_wait;
+      case CatalogRole::kFollower:
+        break;
+    }
+    return times_.peer_wait;
+  }
+
+  /// The same for the configuration. What a peer's reader has read of it may be
+  /// as old as a wait; a connection that is silent for that long belongs to an
+  /// instance that is out of reach.
+  std::optional<base::Millis> NextConfigurationLongPoll() const {
+    const bool is_newer_known =
+        newest_known_configuration_ > catalog_source_.ConfigurationVersion();
+    if (IsJoining() || (IsServedByPeers() && !is_newer_known)) {
       return std::nullopt;
     }
-    return member_count_ > settings_.direct_group ? kReaderLongPoll
-                                                  : kDefaultLongPoll;
+    return peer_link_->Role() == CatalogRole::kFollower ? times_.peer_wait
+                                                        : times_.direct_wait;
   }
 
   bool NeedsCatalogFromPeers() const {
     return catalog_source_.NeedsCatalogFromPeers() ||
-           !peer_link_->IsTableReader();
+           peer_link_->Role() == CatalogRole::kFollower;
   }
 
   /// Passes a catalog from the control thread to the traffic thread.
@@ -446,26 +492,31 @@
     callbacks.configuration_version = [this] {
       return catalog_source_.ConfigurationVersion();
     };
-    callbacks.catalog_newer_than = [this](uint64_t known_version,
-                                          uint64_t known_revision) {
-      return CatalogNewerThan(known_version, known_revision);
-    };
+    callbacks.catalog_newer_than =
+        [this](const peer::FetchCatalogRequest& request) {
+          return CatalogNewerThan(request);
+        };
     callbacks.needs_catalog = [this] { return NeedsCatalogFromPeers(); };
     callbacks.needs_configuration = [this] {
-      return catalog_source_.NeedsConfigurationFromPeers();
+      return catalog_source_.NeedsConfigurationFromPeers() ||
+             peer_link_->Role() == CatalogRole::kFollower;
+    };
+    callbacks.can_read_configuration = [this] {
+      return !catalog_source_.NeedsConfigurationFromPeers();
     };
     callbacks.targets_revision = [this] {
       return catalog_source_.TargetsRevision();
     };
-    callbacks.on_catalog_unchanged = [this](base::Millis age) {
-      catalog_source_.OnPeerUnchanged(age);
+    callbacks.table_version = [this] { return catalog_source_.TableVersion(); };
+    callbacks.on_configuration_version = [this](uint64_t version) {
+      newest_known_configuration_ =
+          std::max(newest_known_configuration_, version);
+    };
+    callbacks.on_catalog_unchanged = [this](const PeerCatalog& it) {
+      catalog_source_.OnPeerUnchanged(it);
     };
     callbacks.on_catalog = [this](const PeerCatalog& it) {
-      const bool is_authoritative =
-          !peer_link_->IsTableReader() && it.age <= PeerLink::kMaximumFreshAge;
-      catalog_source_.OnPeerCatalog(
-          it, is_authoritative ? PeerTargetsPolicy::kAcceptAlways
-                               : PeerTargetsPolicy::kAcceptIfNewer);
+      return catalog_source_.OnPeerCatalog(it);
     };
     callbacks.on_target_lost = [this](const forward::TargetLoss& target,
                                       uint64_t content_hash) {
@@ -493,16 +544,19 @@
     return callbacks;
   }
 
-  PeerCatalog CatalogNewerThan(uint64_t known_version,
-                               uint64_t known_revision) const {
+  PeerCatalog CatalogNewerThan(const peer::FetchCatalogRequest& request) const {
     PeerCatalog catalog;
-    if (catalog_source_.ConfigurationVersion() > known_version) {
-      catalog.configuration = catalog_source_.ConfigurationText();
+    const std::string& text = catalog_source_.ConfigurationText();
+    if (catalog_source_.ConfigurationVersion() > request.known_version() &&
+        (!request.is_large_configuration_read() ||
+         text.size() <= kMaximumPeerConfigurationBytes)) {
+      catalog.configuration = text;
     }
     const std::optional<base::Millis> age = catalog_source_.TargetsAge();
     if (age) {
-      catalog_source_.FillTargets(known_revision, &catalog);
+      catalog_source_.FillTargets(request.known_targets(), &catalog);
       catalog.age = *age;
+      catalog.table_version = catalog_source_.TableVersion();
     }
     return catalog;
   }
@@ -640,6 +694,13 @@
   }
 
   Settings settings_;
+  CatalogTimes times_{settings_.catalog_bound};
+  base::Millis started_at_ = base::Clock::Now();
+  /// Of the control thread: until then, an instance that follows others does
+  /// not read the table service.
+  base::Millis read_again_at_;
+  /// Of the control thread: the latest configuration version that a peer has.
+  uint64_t newest_known_configuration_ = 0;
   base::Metrics metrics_;
   asio::io_context traffic_{1};
   asio::io_context control_{1};
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -12,19 +12,17 @@
 
 namespace {
 
-// How long an instance without a newer catalog delays its answer to a peer's
-// request for the catalog.
-constexpr base::Millis kLongPollTimeout{700};
-// Timeout of a request for a peer's catalog: kLongPollTimeout plus the time of
-// several network round trips.
-constexpr base::Millis kFetchTimeout{1000};
+// Time that a peer may take to answer a request for its catalog, in addition to
+// CatalogTimes::peer_wait.
+constexpr base::Millis kFetchSlack{300};
+// After so many failed fetches, the sources are tried again from the first.
+constexpr size_t kMaximumFailedFetches = 6;
+// How long a source that failed is avoided.
+constexpr base::Millis kSourceRetryPeriod{5000};
 // Number of random peers to which an instance reports a lost target. Several
 // instances detect the same loss and report it, so that a few messages from
 // each are enough to reach all instances.
 constexpr size_t kLossReportFanout = 12;
-// In a large group, the number of instances of each failure domain that read
-// the targets from the table service.
-constexpr size_t kReadersPerDomain = 2;
 
 membership::PeerState MakeSelfState(const Settings& settings) {
   membership::PeerState self;
@@ -115,6 +113,7 @@
   PeerCatalog catalog;
   catalog.configuration = reply.configuration();
   catalog.age = {reply.age_ms()};
+  catalog.table_version = reply.table_version();
   catalog.is_delta = reply.is_delta();
   catalog.removed.assign(reply.removed().begin(), reply.removed().end());
   if (reply.has_targets()) {
@@ -133,7 +132,8 @@
                    PeerLinkCallbacks callbacks)
     : callbacks_(std::move(callbacks)),
       seeds_(settings.seed_peers),
-      direct_read_group_size_(settings.direct_group),
+      direct_group_(settings.direct_group),
+      times_(settings.catalog_bound),
       client_(ClientOptions(), metrics),
       membership_(MakeSelfState(settings), &client_, MakeMembershipCallbacks()),
       retry_budget_(&membership_, &client_, callbacks_.post, settings),
@@ -165,6 +165,7 @@
   };
   callbacks.on_table_changed = [this] {
     retry_budget_.OnMembersChanged();
+    UpdatePlace();
     callbacks_.on_member_count(membership_.Table().Reachable().size() + 1);
     UpdateTunnelPeers();
   };
@@ -239,15 +240,22 @@
       [this](const peer::FetchCatalogRequest& request,
              std::function<void(peer::FetchCatalogReply)> done) {
         held_requests_.push_back(
-            {request, std::move(done), base::Clock::Now() + kLongPollTimeout});
+            {request, std::move(done), base::Clock::Now() + times_.peer_wait});
         AnswerHeldRequests();
       };
   return dependencies;
 }
 
+bool PeerLink::HasNewerTargets(const peer::FetchCatalogRequest& request) const {
+  const uint64_t own = callbacks_.table_version();
+  const uint64_t known = request.known_table_version();
+  return callbacks_.targets_revision() != request.known_targets() &&
+         (own == 0 || known == 0 || own > known);
+}
+
 bool PeerLink::HasNewerCatalog(const peer::FetchCatalogRequest& request) const {
   return callbacks_.configuration_version() > request.known_version() ||
-         callbacks_.targets_revision() != request.known_targets();
+         HasNewerTargets(request);
 }
 
 void PeerLink::AnswerHeldRequests() {
@@ -267,13 +275,18 @@
 
 peer::FetchCatalogReply PeerLink::MakeCatalogReply(
     const peer::FetchCatalogRequest& request) {
-  const PeerCatalog catalog = callbacks_.catalog_newer_than(
-      request.known_version(), request.known_targets());
+  const PeerCatalog catalog = callbacks_.catalog_newer_than(request);
   peer::FetchCatalogReply reply;
   reply.set_version(callbacks_.configuration_version());
   reply.set_configuration(catalog.configuration);
   reply.set_age_ms(catalog.age.count);
   reply.set_has_targets(catalog.targets.has_value());
+  reply.set_table_version(catalog.table_version);
+  if (!HasNewerTargets(request)) {
+    // Equal revisions say that there is nothing new.
+    reply.set_targets_revision(request.known_targets());
+    return reply;
+  }
   reply.set_targets_revision(callbacks_.targets_revision());
   reply.set_is_delta(catalog.is_delta);
   for (const std::string& it : catalog.removed) {
@@ -287,45 +300,29 @@
   return reply;
 }
 
-std::vector<std::string> PeerLink::RankDomainMembers() const {
-  const membership::PeerState& self = membership_.Table().Self();
-  std::vector<std::pair<uint64_t, std::string>> ranked;
-  ranked.emplace_back(base::Hash(self.instance), self.address);
-  for (const membership::PeerState& it : membership_.Table().Reachable()) {
-    if (it.failure_domain == self.failure_domain &&
-        it.status == membership::PeerStatus::kAlive) {
-      ranked.emplace_back(base::Hash(it.instance), it.address);
-    }
-  }
-  std::sort(ranked.begin(), ranked.end());
-  std::vector<std::string> addresses;
-  addresses.reserve(ranked.size());
-  for (const auto& it : ranked) {
-    addresses.push_back(it.second);
-  }
-  return addresses;
-}
-
-bool PeerLink::IsTableReader() const {
-  if (membership_.Table().Reachable().size() + 1 <= direct_read_group_size_) {
-    return true;
+void PeerLink::UpdatePlace() {
+  CatalogPlace place =
+      FindCatalogPlace(membership_.Table().Self(),
+                       membership_.Table().Reachable(), direct_group_);
+  if (place.role != place_.role || place.sources != place_.sources) {
+    base::Log(base::LogLevel::kInfo, "catalog_role",
+              {{"role", kCatalogRoleNames.NameOf(place.role)},
+               {"before", kCatalogRoleNames.NameOf(place_.role)},
+               {"source", place.sources.empty() ? "" : place.sources.front()},
+               {"levels", place.sources.size()}});
+    failed_fetches_ = 0;
+    preferred_peer_.clear();
+    place_ = std::move(place);
   }
-  const std::vector<std::string> ranked = RankDomainMembers();
-  const auto end = ranked.begin() + static_cast<long>(std::min(
-                                        kReadersPerDomain, ranked.size()));
-  return std::find(ranked.begin(), end, membership_.Table().Self().address) !=
-         end;
 }
 
 std::optional<std::string> PeerLink::ChoosePeer() {
+  if (failed_fetches_ < place_.sources.size()) {
+    return place_.sources[failed_fetches_];
+  }
   if (!preferred_peer_.empty()) {
     return preferred_peer_;
   }
-  std::vector<std::string> ranked = RankDomainMembers();
-  std::erase(ranked, membership_.Table().Self().address);
-  if (failed_fetches_ < std::min(kReadersPerDomain, ranked.size())) {
-    return ranked[failed_fetches_];
-  }
   const auto peers = membership_.Table().Reachable();
   if (peers.empty()) {
     return std::nullopt;
@@ -348,37 +345,62 @@
                                 ? callbacks_.configuration_version()
                                 : UINT64_MAX);
   // A peer can compute changes only against a revision that it sent itself.
-  request.set_known_targets(
-      *address == known_targets_peer_ ? known_targets_revision_ : 0);
-  client_.FetchCatalog(
-      *address, request, kFetchTimeout,
-      [this, address = *address](std::optional<peer::FetchCatalogReply> reply) {
-        callbacks_.post([this, address, reply = std::move(reply)] {
-          is_fetching_ = false;
-          OnFetched(address, reply);
-        });
-      });
+  const uint64_t known_revision =
+      *address == known_targets_peer_ ? known_targets_revision_ : 0;
+  request.set_known_targets(known_revision);
+  request.set_known_table_version(callbacks_.table_version());
+  request.set_is_large_configuration_read(callbacks_.can_read_configuration());
+  client_.FetchCatalog(*address, request, times_.peer_wait + kFetchSlack,
+                       [this, address = *address, known_revision](
+                           std::optional<peer::FetchCatalogReply> reply) {
+                         callbacks_.post([this, address, known_revision,
+                                          reply = std::move(reply)] {
+                           is_fetching_ = false;
+                           OnFetched(address, known_revision, reply);
+                         });
+                       });
+}
+
+void PeerLink::OnFetchResult(const std::string& address, bool is_fresh) {
+  const base::Millis now = base::Clock::Now();
+  if (!is_fresh) {
+    preferred_peer_.clear();
+    failed_fetches_ = (failed_fetches_ + 1) % kMaximumFailedFetches;
+    last_failed_fetch_at_ = now;
+    return;
+  }
+  const auto& sources = place_.sources;
+  const bool is_source =
+      std::find(sources.begin(), sources.end(), address) != sources.end();
+  preferred_peer_ = is_source ? "" : address;
+  if (now - last_failed_fetch_at_ >= kSourceRetryPeriod) {
+    failed_fetches_ = 0;
+  }
 }
 
 void PeerLink::OnFetched(const std::string& address,
+                         uint64_t known_revision,
                          const std::optional<peer::FetchCatalogReply>& reply) {
-  const bool is_fresh = reply && reply->has_targets() &&
-                        reply->age_ms() <= kMaximumFreshAge.count;
-  preferred_peer_ = is_fresh ? address : "";
-  failed_fetches_ = is_fresh ? 0 : failed_fetches_ + 1;
+  OnFetchResult(address, reply && reply->has_targets() &&
+                             reply->age_ms() <= times_.maximum_age.count);
   if (!reply) {
     return;
   }
+  callbacks_.on_configuration_version(reply->version());
   PeerCatalog catalog = FromProto(*reply);
-  if (reply->has_targets() &&
-      reply->targets_revision() == known_targets_revision_) {
+  if (reply->has_targets() && reply->targets_revision() == known_revision) {
     catalog.targets.reset();
-    callbacks_.on_catalog_unchanged(catalog.age);
-  } else if (reply->has_targets()) {
+    callbacks_.on_catalog_unchanged(catalog);
+  }
+  const bool is_adopted = callbacks_.on_catalog(catalog);
+  if (is_adopted) {
     known_targets_revision_ = reply->targets_revision();
     known_targets_peer_ = address;
+  } else if (catalog.targets) {
+    // Changes against targets that were not adopted are of no use.
+    known_targets_revision_ = 0;
+    known_targets_peer_.clear();
   }
-  callbacks_.on_catalog(catalog);
 }
 
 void PeerLink::ShareSuspects(const std::vector<forward::Suspect>& suspects) {
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -14,6 +14,7 @@
 #include "forward/target_loss.h"
 #include "forward/tunnel_peer.h"
 #include "gateway/catalog_source.h"
+#include "gateway/catalog_tree.h"
 #include "gateway/settings.h"
 #include "gateway/shared_request_limit.h"
 #include "gateway/shared_retry_budget.h"
@@ -31,12 +32,14 @@
   /// Runs a task on the control thread, from any thread.
   std::function<void(std::function<void()>)> post;
   std::function<uint64_t()> configuration_version;
-  /// Returns the catalog for a peer that has the configuration of version
-  /// `known_version` and the targets of revision `known_revision`: the
-  /// configuration if it is newer, and either all targets or only the changes
-  /// made after that revision.
-  std::function<PeerCatalog(uint64_t known_version, uint64_t known_revision)>
+  /// Returns the catalog for a peer: the configuration if the peer's is older,
+  /// and either all targets or only the changes made after the revision that
+  /// the peer has.
+  std::function<PeerCatalog(const peer::FetchCatalogRequest&)>
       catalog_newer_than;
+  /// Returns the version of the table service that this instance's targets
+  /// match; zero if unknown.
+  std::function<uint64_t()> table_version;
   /// Returns a number that identifies the current set of targets. The number
   /// changes whenever the set changes.
   std::function<uint64_t()> targets_revision;
@@ -45,8 +48,13 @@
   /// Returns whether to fetch the configuration from peers in addition to the
   /// targets.
   std::function<bool()> needs_configuration;
-  /// Called with each catalog fetched from a peer.
-  std::function<void(const PeerCatalog&)> on_catalog;
+  /// Returns whether this instance can read the configuration itself.
+  std::function<bool()> can_read_configuration;
+  /// Called with each catalog fetched from a peer. Returns whether the targets
+  /// were adopted.
+  std::function<bool(const PeerCatalog&)> on_catalog;
+  /// Called with the version of a peer's configuration.
+  std::function<void(uint64_t version)> on_configuration_version;
   /// Called when a peer reports that it has lost a target. `content_hash` is
   /// the hash of a request that may have crashed the target, or zero if there
   /// is none.
@@ -65,9 +73,8 @@
   /// changed.
   std::function<void(std::vector<forward::TunnelPeer>)> on_tunnel_peers;
   /// Called when a peer reports that its targets have not changed since they
-  /// were last fetched from it. `age` is the time since the peer's targets were
-  /// last known to match the table service.
-  std::function<void(base::Millis age)> on_catalog_unchanged;
+  /// were last fetched from it, or that it has none that are newer.
+  std::function<void(const PeerCatalog&)> on_catalog_unchanged;
 };
 
 /// Communicates with the other instances: tracks the members of the group,
@@ -80,13 +87,6 @@
   /// answer.
   static constexpr base::Millis kFetchPeriod{100};
 
-  /// Maximum age at which targets fetched from a peer are treated like targets
-  /// that this instance has read from the table service itself. The age is the
-  /// time since the targets were last known to match the table service. If the
-  /// peer reads the table service for others, the age stays below this limit,
-  /// because each read of the peer waits at most one second for a change.
-  static constexpr base::Millis kMaximumFreshAge{1700};
-
   PeerLink(const Settings& settings,
            base::Metrics* metrics,
            PeerLinkCallbacks callbacks);
@@ -128,10 +128,8 @@
   /// The limit on retries that all instances share.
   SharedRetryBudget& RetryBudget() { return retry_budget_; }
 
-  /// True if this instance reads the targets from the table service: always in
-  /// a small group, otherwise if it is one of the few that read for all
-  /// instances of their failure domain.
-  bool IsTableReader() const;
+  /// Returns how this instance gets the catalog.
+  CatalogRole Role() const { return place_.role; }
 
   /// Stops accepting calls from peers. Must not be called on the control
   /// thread, which must still be running.
@@ -158,17 +156,23 @@
     base::Millis expires_at;
   };
 
+  bool HasNewerTargets(const peer::FetchCatalogRequest& request) const;
   bool HasNewerCatalog(const peer::FetchCatalogRequest& request) const;
   peer::FetchCatalogReply MakeCatalogReply(
       const peer::FetchCatalogRequest& request);
+  /// `known_revision` is that of the targets named in the request.
   void OnFetched(const std::string& address,
+                 uint64_t known_revision,
                  const std::optional<peer::FetchCatalogReply>& reply);
-  std::vector<std::string> RankDomainMembers() const;
+  void OnFetchResult(const std::string& address, bool is_fresh);
+  void UpdatePlace();
   std::optional<std::string> ChoosePeer();
 
   PeerLinkCallbacks callbacks_;
   std::vector<std::string> seeds_;
-  size_t direct_read_group_size_;
+  size_t direct_group_;
+  CatalogTimes times_;
+  CatalogPlace place_;
   peer::PeerClient client_;
   peer::MembershipProtocol membership_;
   SharedRetryBudget retry_budget_;
@@ -180,16 +184,17 @@
   /// The peers last passed to `on_tunnel_peers`.
   std::vector<forward::TunnelPeer> tunnel_peers_;
   bool is_fetching_ = false;
-  /// Address of the peer from which the last fetch got targets that are not
-  /// older than kMaximumFreshAge. The next fetch goes to the same peer. Empty
-  /// if the last fetch got no such targets.
+  /// Address of a peer outside CatalogPlace::sources whose targets were not
+  /// older than CatalogTimes::maximum_age. The next fetch goes to the same
+  /// peer. Empty if there is none.
   std::string preferred_peer_;
   /// Revision of the targets last fetched, and the address of the peer that
   /// sent them.
   uint64_t known_targets_revision_ = 0;
   std::string known_targets_peer_;
-  /// Number of consecutive fetches that got no targets within kMaximumFreshAge.
+  /// Number of consecutive fetches that got no targets of such an age.
   size_t failed_fetches_ = 0;
+  base::Millis last_failed_fetch_at_;
 };
 
 }  // namespace daisypond::gateway
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -52,6 +52,9 @@
   into->store = reader.Address("store", true);
   into->direct_group = static_cast<size_t>(reader.Integer(
       "direct_group", {1, 100'000}, static_cast<int64_t>(into->direct_group)));
+  into->catalog_bound = {reader.Integer("catalog_bound_ms", {500, 600'000},
+                                        into->catalog_bound.count)};
+  into->is_first_start = reader.Bool("first_start", into->is_first_start);
   into->stop_grace = ReadSeconds(reader, "stop_grace_s", into->stop_grace);
   reader.Child("retries", [&](yaml::MappingReader& child) {
     ReadRetrySettings(child, &into->retries);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -41,15 +41,17 @@
   std::vector<std::string> seed_peers;
   /// Address of the table service, which holds the configuration and targets.
   std::string store;
-  /// In a group of up to this size, every instance reads the targets from the
-  /// table service. In a larger group, two instances of each failure domain
-  /// read them for the others, so that the load on the table service does not
-  /// grow with the group. FIXME: an instance that got its targets from a peer
-  /// once sent a request to a target 3.8 s after the target had announced that
-  /// it was leaving. Until the cause is found, the limit is higher than the
-  /// size of present groups, so that every instance reads for itself
-  /// (docs/FINDINGS.md).
-  size_t direct_group = 400;
+  /// In a group of up to this size, every instance reads the table service. In
+  /// a larger group, one instance of each failure domain reads it for the
+  /// others, so that the load on the table service does not grow with the
+  /// group.
+  size_t direct_group = 16;
+  /// Time within which a change in the table service must have taken effect at
+  /// all instances.
+  base::Millis catalog_bound{2000};
+  /// True when the whole system starts for the first time. Instances then wait
+  /// for each other before they read the table service.
+  bool is_first_start = false;
   /// Time from the stop signal until the process is killed.
   base::Millis stop_grace{8000};
   RetrySettings retries;
