--- a/src/gateway/catalog_tree.cc
+++ b/src/gateway/catalog_tree.cc
@@ -22,6 +22,24 @@
       maximum_age(Percent(bound, 75)),
       retry_pause(bound) {}
 
+std::optional<base::Millis> TargetReadWait(const CatalogTimes& times,
+                                           CatalogRole role,
+                                           std::optional<base::Millis> age,
+                                           bool is_paused) {
+  switch (role) {
+    case CatalogRole::kDirect:
+      return times.direct_wait;
+    case CatalogRole::kReader:
+      return times.reader_wait;
+    case CatalogRole::kFollower:
+      break;
+  }
+  if (age && (*age <= times.maximum_age || is_paused)) {
+    return std::nullopt;
+  }
+  return times.peer_wait;
+}
+
 CatalogPlace FindCatalogPlace(const membership::PeerState& self,
                               const std::vector<membership::PeerState>& peers,
                               size_t direct_group) {
--- a/src/gateway/catalog_tree.h
+++ b/src/gateway/catalog_tree.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,16 @@
   base::Millis retry_pause;
 };
 
+/// Returns how long the next call to the table service may wait for a change of
+/// the targets. Returns nothing if no call is to be made, because peers keep
+/// the targets young enough. `age` is the time since the targets were last
+/// known to match the table service, empty if there are none; `is_paused` is
+/// true for a while after a failed call.
+std::optional<base::Millis> TargetReadWait(const CatalogTimes& times,
+                                           CatalogRole role,
+                                           std::optional<base::Millis> age,
+                                           bool is_paused);
+
 /// The position of an instance among the members of its failure domain that
 /// pass the catalog on.
 struct CatalogPlace {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -321,41 +321,25 @@
     return age < kJoinTime || peer_link_->Role() == CatalogRole::kFollower;
   }
 
-  /// True if this instance follows others and their targets are young enough.
-  bool IsServedByPeers() const {
-    if (peer_link_->Role() != CatalogRole::kFollower) {
-      return false;
-    }
-    const std::optional<base::Millis> age = catalog_source_.TargetsAge();
-    return age &&
-           (*age <= times_.maximum_age || base::Clock::Now() < read_again_at_);
-  }
-
   /// Returns how long the next call to the table service may wait for a change
   /// of the targets. Returns nothing while this instance gets its targets from
   /// peers instead of the table service.
   std::optional<base::Millis> NextTargetLongPoll() const {
-    if (IsJoining() || IsServedByPeers()) {
+    if (IsJoining()) {
       return std::nullopt;
     }
-    switch (peer_link_->Role()) {
-      case CatalogRole::kDirect:
-        return times_.direct_wait;
-      case CatalogRole::kReader:
-        return times_.reader_wait;
-      case CatalogRole::kFollower:
-        break;
-    }
-    return times_.peer_wait;
+    return TargetReadWait(times_, peer_link_->Role(),
+                          catalog_source_.TargetsAge(),
+                          base::Clock::Now() < read_again_at_);
   }
 
-  /// The same for the configuration. What a peer's reader has read of it may be
-  /// as old as a wait; a connection that is silent for that long belongs to an
-  /// instance that is out of reach.
+  /// The same for the configuration. A follower trusts its peers for it while
+  /// they confirm the targets: a connection of their reader that is silent ends
+  /// after the wait, within the bound.
   std::optional<base::Millis> NextConfigurationLongPoll() const {
     const bool is_newer_known =
         newest_known_configuration_ > catalog_source_.ConfigurationVersion();
-    if (IsJoining() || (IsServedByPeers() && !is_newer_known)) {
+    if (!is_newer_known && !NextTargetLongPoll()) {
       return std::nullopt;
     }
     return peer_link_->Role() == CatalogRole::kFollower ? times_.peer_wait
