Test that streams go on after all instances were killed during a release

Real processes, SIGKILL to all at once, engines of two versions, then engines that replace all others. An instance that reads the catalog alone logs how old its targets were.

--- a/meta/forwarding_stand_ins.py
+++ b/meta/forwarding_stand_ins.py
@@ -31,17 +31,22 @@
         self.rows = {}
 
     def put(self, table, key, value):
+        self.put_encoded(table, key, encode(value))
+
+    # `value` is in Base64, or None to remove the row.
+    def put_encoded(self, table, key, value):
         with self.changed:
             self.version += 1
-            self.rows[table, key] = (self.version, encode(value))
+            self.rows[table, key] = (self.version, value)
             self.changed.notify_all()
 
     # Returns the rows of a table that are newer than `version`.
     def read(self, table, version=0):
         with self.changed:
             return self.version, [
-                {"table": table, "part": "", "key": key, "value": value,
-                 "ver": ver}
+                {"table": table, "part": "", "key": key, "ver": ver,
+                 **({"tombstone": True} if value is None else
+                    {"value": value})}
                 for (its_table, key), (ver, value) in sorted(self.rows.items())
                 if its_table == table and ver > version]
 
@@ -67,6 +72,9 @@
             table = query.get("table", "")
             if url.path == "/rows-get":
                 version, rows = tables.read(table)
+                rows = [it for it in rows if "value" in it
+                        and it["key"] >= query.get("from", "")
+                        and ("to" not in query or it["key"] < query["to"])]
             else:
                 version, rows = tables.wait(
                     table, int(query.get("after_rev", 0)),
@@ -75,7 +83,12 @@
                          "has_more": False})
 
         def do_POST(self):
-            self.rfile.read(int(self.headers["Content-Length"]))
+            body = json.loads(
+                self.rfile.read(int(self.headers["Content-Length"])))
+            for it in body["put"]:
+                tables.put_encoded(it["table"], it["key"], it["value"])
+            for it in body["remove"]:
+                tables.put_encoded(it["table"], it["key"], None)
             self.answer({"ver": tables.version, "now_ms": 1})
 
         def answer(self, value):
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -281,6 +281,7 @@
     };
     callbacks.on_available = [this](uint64_t version) {
       metrics_.Add(base::Counter::kStoreCalls);
+      LogIfReadAlone();
       catalog_source_.OnTargetTableAnswered(version);
     };
     callbacks.on_unavailable = [this](catalog::TableReadError) {
@@ -300,6 +301,16 @@
             [this] { return peer_link_->StreamRecords().VersionsToRecord(); }};
   }
 
+  /// To be called before what a call has returned is applied.
+  void LogIfReadAlone() const {
+    if (peer_link_->Role() == CatalogRole::kFollower) {
+      const std::optional<base::Millis> age = catalog_source_.TargetsAge();
+      base::Log(base::LogLevel::kInfo, "catalog_read_alone",
+                {{"age_ms", age ? age->count : -1},
+                 {"table_version", catalog_source_.TableVersion()}});
+    }
+  }
+
   void OnReadFailed() {
     // Instances that follow others and lose the table service together do not
     // return to it together.
