--- a/src/catalog/table_watcher.h
+++ b/src/catalog/table_watcher.h
@@ -32,6 +32,11 @@
   /// two seconds, so that these rows are read soon after they are registered.
   base::Millis initial_backoff{100};
   base::Millis maximum_backoff{700};
+  /// For `cautious_period` after the table service has lost its history, no
+  /// call waits longer than `cautious_wait`: a call made then was once not told
+  /// of a change until its wait had passed.
+  base::Millis cautious_wait{300};
+  base::Millis cautious_period{5000};
 };
 
 /// Callbacks of a TableWatcher, run on its thread.
@@ -89,8 +94,10 @@
     if (!is_listed_) {
       co_return co_await ListAll();
     }
-    const TableReadResult result =
-        co_await reader_->WaitForChanges(options_.table, version_, *wait);
+    const bool is_cautious = base::Clock::Now() < cautious_until_;
+    const TableReadResult result = co_await reader_->WaitForChanges(
+        options_.table, version_,
+        is_cautious ? std::min(*wait, options_.cautious_wait) : *wait);
     if (!result) {
       co_return HandleError(result.error());
     }
@@ -148,6 +155,7 @@
   base::Millis HandleError(TableReadError read_error) {
     if (read_error == TableReadError::kHistoryGone) {
       is_listed_ = false;
+      cautious_until_ = base::Clock::Now() + options_.cautious_period;
       base::Log(base::LogLevel::kInfo, "store_history_gone",
                 {{"table", options_.table}, {"version", version_}});
       return {0};
@@ -174,6 +182,7 @@
   uint64_t version_ = 0;
   bool is_listed_ = false;
   bool is_unavailable_ = false;
+  base::Millis cautious_until_;
   base::Millis backoff_ = options_.initial_backoff;
 };
 
