Do not bring back targets that left while only this instance had no store

Change: only the last of several changes of a row counts, and the grace period holds only if no instance in reach had confirmed the targets for 3 s.

--- a/src/catalog/target_tracker.cc
+++ b/src/catalog/target_tracker.cc
@@ -71,11 +71,14 @@
   is_unavailable_ = true;
 }
 
-void TargetTracker::OnTableServiceAvailable(base::Millis now) {
+void TargetTracker::OnTableServiceAvailable(base::Millis now, bool was_outage) {
   if (!is_unavailable_) {
     return;
   }
   is_unavailable_ = false;
+  if (!was_outage) {
+    return;
+  }
   has_recovered_ = true;
   recovered_at_ = now;
 }
--- a/src/catalog/target_tracker.h
+++ b/src/catalog/target_tracker.h
@@ -48,8 +48,11 @@
   /// To be called when a call to the table service failed.
   void OnTableServiceUnavailable();
 
-  /// To be called when a call to the table service succeeded.
-  void OnTableServiceAvailable(base::Millis now);
+  /// To be called when a call to the table service succeeded. After failed
+  /// calls, entries that are missing keep their targets for
+  /// kRecoveryGracePeriod only if there `was_outage`: a table service that
+  /// served other instances meanwhile had no reason to lose entries.
+  void OnTableServiceAvailable(base::Millis now, bool was_outage = true);
 
   /// Removes targets whose entries are still missing after
   /// kRecoveryGracePeriod. Returns true when the active targets changed.
--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -115,7 +115,17 @@
     std::vector<catalog::Target> decoded;
     decoded.reserve(rows.size());
     std::vector<catalog::TargetChange> changes;
-    for (const catalog::Row& it : rows) {
+    // Several changes of one target come together after a pause in reading. The
+    // earlier ones must not bring back a target that has gone since.
+    std::map<std::string, size_t> last_position;
+    for (size_t i = 0; i < rows.size(); ++i) {
+      last_position[rows[i].key] = i;
+    }
+    for (size_t i = 0; i < rows.size(); ++i) {
+      const catalog::Row& it = rows[i];
+      if (last_position[it.key] != i) {
+        continue;
+      }
       catalog::TargetChange change{it.key, nullptr};
       if (auto target = DecodeTargetRow(it)) {
         decoded.push_back(std::move(*target));
@@ -136,11 +146,12 @@
   /// up to `version`, or after the changes up to it have been applied.
   void OnTargetTableAnswered(uint64_t version) {
     const base::Millis now = base::Clock::Now();
-    target_tracker_.OnTableServiceAvailable(now);
     if (version >= table_version_) {
       table_version_ = version;
-      targets_confirmed_at_ = now;
+      ConfirmTargets(now);
     }
+    target_tracker_.OnTableServiceAvailable(
+        now, now - unconfirmed_until_ < kOutagePause);
   }
 
   void OnConfigurationTableAnswered() {
@@ -268,6 +279,9 @@
   // Maximum number of removed targets whose ids are kept, so that replies to
   // peers can list the removals.
   static constexpr size_t kMaximumRemovedTargets = 500;
+  // Targets that no instance in reach has confirmed for longer than this may
+  // have lost their entries in an outage of the table service.
+  static constexpr base::Millis kOutagePause{3000};
 
   /// Records the current revision for each target that was added, changed or
   /// removed since the last published catalog.
@@ -299,8 +313,14 @@
   }
 
   void UpdateTargetsAge(base::Millis age) {
-    targets_confirmed_at_ =
-        std::max(targets_confirmed_at_, base::Clock::Now() - age);
+    ConfirmTargets(base::Clock::Now() - age);
+  }
+
+  void ConfirmTargets(base::Millis at) {
+    if (at - targets_confirmed_at_ > kOutagePause) {
+      unconfirmed_until_ = at;
+    }
+    targets_confirmed_at_ = std::max(targets_confirmed_at_, at);
   }
 
   std::optional<catalog::Target> DecodeTargetRow(const catalog::Row& row) {
@@ -360,6 +380,9 @@
   std::string configuration_text_;
   // When the targets were last known to match the table service.
   base::Millis targets_confirmed_at_;
+  // End of the latest pause between two confirmations that was longer than
+  // kOutagePause.
+  base::Millis unconfirmed_until_;
   uint64_t table_version_ = 0;
   bool is_configuration_table_unavailable_ = false;
   // Starts at a random number so that a revision that another process issued is
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -77,6 +77,7 @@
   CPPUNIT_TEST(TestUnreadableTargetIsSkipped);
   CPPUNIT_TEST(TestPeerTargetsOfALaterTableVersionAreAdopted);
   CPPUNIT_TEST(TestTargetsAreNotReplacedByThoseOfAnEarlierTableVersion);
+  CPPUNIT_TEST(TestTargetThatLeftWhileOthersWereServedDoesNotComeBack);
   CPPUNIT_TEST(TestConfigurationIsFetchedFromPeersOnlyDuringOutage);
   CPPUNIT_TEST_SUITE_END();
 
@@ -253,6 +254,26 @@
     EXPECT_EQ(size_t{0}, source_->Current().targets->size());
   }
 
+  void TestTargetThatLeftWhileOthersWereServedDoesNotComeBack() {
+    source_->OnConfigurationText("7");
+    source_->OnTargetTableAnswered(5);
+    source_->OnTargetsListed({}, 5);
+    source_->OnTargetTableUnavailable();
+    PeerCatalog peer;
+    peer.targets.emplace();
+    catalog::Target target;
+    target.id = "y";
+    peer.targets->emplace("y", target);
+    peer.table_version = 8;
+    EXPECT(source_->OnPeerCatalog(peer));
+    // The table service answers again: "x" came and went since version 5, and
+    // "y" has gone just now.
+    source_->OnTargetTableAnswered(9);
+    source_->OnTargetsChanged(
+        {{"x", "10.0.0.1:1", false}, {"x", "", true}, {"y", "", true}}, 9);
+    EXPECT_EQ(size_t{0}, source_->Current().targets->size());
+  }
+
   void TestTargetsAreNotReplacedByThoseOfAnEarlierTableVersion() {
     source_->OnConfigurationText("7");
     source_->OnTargetTableAnswered(5);
