--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -317,7 +317,8 @@
   }
 
   void ConfirmTargets(base::Millis at) {
-    if (at - targets_confirmed_at_ > kOutagePause) {
+    const bool is_first = targets_confirmed_at_.count == 0;
+    if (!is_first && at - targets_confirmed_at_ > kOutagePause) {
       unconfirmed_until_ = at;
     }
     targets_confirmed_at_ = std::max(targets_confirmed_at_, at);
