--- a/src/catalog/table_watcher_test.cc
+++ b/src/catalog/table_watcher_test.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "tests/test_macros.h"
 
@@ -29,6 +31,8 @@
                                                          uint64_t version,
                                                          base::Millis wait) {
     waits.push_back(wait);
+    // Returns to the event loop, which may have been stopped.
+    co_await boost::asio::post(*context_, boost::asio::use_awaitable);
     if (waits.size() == 2) {
       co_return tl::unexpected(TableReadError::kHistoryGone);
     }
