--- a/review/1/play.py
+++ b/review/1/play.py
@@ -15,18 +15,12 @@
 
 
 class Engine(s.Target):
-    """Refuses the cut instance; notes which instance opened a connection."""
+    """Notes which instance opened the connection of each stream."""
 
     case = None
-    cut = None
-
-    def admits(self, writer):
-        owner = s.owner_of(writer, self.case.instances)
-        writer.opened_by = owner
-        return super().admits(writer) and (owner is None or owner != Engine.cut)
 
     async def stream(self, request, events, fields, answer_fields, writer):
-        self.case.carriers[request] = getattr(writer, "opened_by", None)
+        self.case.carriers[request] = s.owner_of(writer, self.case.instances)
         await super().stream(request, events, fields, answer_fields, writer)
 
 
@@ -40,6 +34,7 @@
     record = case.record
     Engine.case = case
     case.carriers = {}
+    case.proxies = {0: {}}
     engines = [Engine(f"e{i}", "llm", record, zone=f"z{i % 2 + 1}",
                       event_gap_s=EVENT_GAP_S) for i in range(ENGINES)]
     for it in engines:
@@ -52,11 +47,8 @@
     cut = case.instances[0]
     if s.TROUBLE:
         record(f"{cut.name} is partitioned from all servers")
-        Engine.cut = cut
-        for it in engines:
-            for writer in list(it.writers):
-                if s.owner_of(writer, [cut]):
-                    s.reset(writer)
+        for it in case.proxies[0].values():
+            it.cut()
     await asyncio.sleep(1)
     requests = []
     for n in range(STREAMS):
@@ -67,7 +59,8 @@
                     "X-Prefix-Hash": f"aa:200,b{n}:300"})))
         await asyncio.sleep(0.05)
     def relays():
-        return [it for it in case.carriers.values() if it not in (None, cut)]
+        return [it for it in case.carriers.values()
+                if it in case.instances[1:]]
 
     for _ in range(60):
         await asyncio.sleep(0.1)
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -309,6 +309,79 @@
         return 200, {"ver": self.ver}
 
 
+class Proxy:
+    """Forwards the connections of one instance to one server; can be cut."""
+
+    def __init__(self, target):
+        self.target, self.server, self.writers = target, None, set()
+
+    async def listen(self):
+        self.server = await asyncio.start_server(
+            self.serve, HOST, 0, backlog=512)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"{HOST}:{port}"
+
+    def cut(self):
+        """Open connections are reset, new ones are refused."""
+        self.server.close()
+        for it in list(self.writers):
+            reset(it)
+
+    async def serve(self, reader, writer):
+        far = None
+        try:
+            far_reader, far = await asyncio.open_connection(
+                HOST, self.target.port)
+            self.writers |= {writer, far}
+            await asyncio.gather(self.copy(reader, far),
+                                 self.copy(far_reader, writer))
+        except OSError:
+            reset(writer)
+        finally:
+            for it in (writer, far):
+                if it:
+                    self.writers.discard(it)
+                    it.close()
+
+    @staticmethod
+    async def copy(reader, writer):
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+        with contextlib.suppress(OSError):
+            writer.write_eof()
+
+
+class StoreView(HttpServer):
+    """The store as one instance sees it: servers stand behind its proxies."""
+
+    def __init__(self, store, proxies):
+        super().__init__()
+        self.store, self.proxies = store, proxies
+
+    async def answer(self, first, fields, body, writer):
+        reader, far = await asyncio.open_connection(HOST, self.store.port)
+        try:
+            method, path, _ = first.split(" ")
+            far.write(format_head(first, {
+                "Host": "store", "Content-Length": len(body)}) + body)
+            status, fields = await read_head(reader)
+            data = json.loads(await read_body(reader, fields))
+        finally:
+            far.close()
+        for row in data.get("rows", []):
+            proxy = self.proxies.get(row["key"])
+            if row.get("table") == "servers" and proxy and "value" in row:
+                value = json.loads(base64.b64decode(row["value"]))
+                value["address"] = proxy.address
+                row["value"] = base64.b64encode(
+                    json.dumps(value).encode()).decode()
+        writer.write(format_answer(
+            status.split(" ")[1], json.dumps(data).encode(),
+            {"Content-Type": "application/json",
+             "Store-Era": self.store.era}))
+
+
 class Target(HttpServer):
     """A server: answers calls after `work_s`, streams events of a run."""
 
@@ -576,6 +649,8 @@
         self.n_instances, self.zones = instances, zones
         self.instances = []
         self.tasks = []
+        # By instance index: proxies between it and the servers, by server.
+        self.proxies = {}
 
     async def start(self, targets, first_manifest):
         if not (ROOT / "target/daisypond-entry").exists():
@@ -590,8 +665,15 @@
         ports = free_ports(5 * self.n_instances)
         groups = [ports[i:i + 5] for i in range(0, len(ports), 5)]
         for i, it in enumerate(groups):
+            store = self.store
+            if i in self.proxies:
+                for target in targets:
+                    self.proxies[i][target.name] = Proxy(target)
+                    await self.proxies[i][target.name].listen()
+                store = StoreView(self.store, self.proxies[i])
+                await store.listen()
             self.instances.append(Instance(
-                i, it, groups, self.store.address, self.folder,
+                i, it, groups, store.address, self.folder,
                 self.zones[i % len(self.zones)]))
         for it in self.instances:
             it.start()
