Do not take the end of a relaying peer for the end of an answer

Cause: an answer without framing ends with its connection. A tunnel carried bare bytes, and a process that is killed or exits closes its connections in order, so the end of the peer looked like the end of the target.

Change: the peer sends the target's bytes in frames and marks the target's end; the handshake agrees on it. Without the mark the end is a broken connection, so streams go on through another peer. With a peer of an older build an answer without framing counts as broken. For an instance of an older build the peer leaves its side of the connection to be reset, also by the end of the process.

--- a/src/forward/connect_target.cc
+++ b/src/forward/connect_target.cc
@@ -64,15 +64,17 @@
     TunnelPeer peer,
     Millis deadline) {
   const Millis began_at = base::Clock::Now();
-  tunnel::ConnectRequest request{connection->Target(),
-                                 StartTimeOf(*forwarder, connection->Target()),
-                                 forwarder->options.instance};
+  tunnel::ConnectRequest request{
+      connection->Target(), StartTimeOf(*forwarder, connection->Target()),
+      forwarder->options.instance, tunnel::Framing::kFrames};
   connection->Socket().Close();
   connection->tunnel_peer =
       forwarder->tunnel_peer_selector.OnTunnelBegun(peer.instance);
-  const tunnel::Status status = co_await tunnel::Open(
+  const tunnel::OpenResult opened = co_await tunnel::Open(
       &connection->Socket(), std::move(peer.address), std::move(request),
       std::min(deadline, began_at + kTunnelTimeout));
+  const tunnel::Status status = opened.status;
+  connection->OnTunnelOpened(opened.framing);
   if (connection->IsAbandoned()) {
     co_return status;
   }
@@ -97,6 +99,7 @@
             {{"target", connection->Target()},
              {"peer", peer.instance},
              {"status", tunnel::kStatusNames.NameOf(status)},
+             {"framing", tunnel::kFramingNames.NameOf(opened.framing)},
              {"took_ms", (now - began_at).count}});
   if (status != tunnel::Status::kOpen) {
     connection->tunnel_peer.reset();
--- a/src/forward/cut_path_test.cc
+++ b/src/forward/cut_path_test.cc
@@ -288,6 +288,10 @@
   CPPUNIT_TEST(TestWithoutPeersRequestsAreRefused);
   CPPUNIT_TEST(TestTargetThatBreaksATunnelIsReported);
   CPPUNIT_TEST(TestTargetThatThePeerCannotReachIsReported);
+  CPPUNIT_TEST(TestStreamGoesOnWhenThePeerThatRelaysItEnds);
+  CPPUNIT_TEST(TestCallIsNotCompleteWhenThePeerThatRelaysItEnds);
+  CPPUNIT_TEST(TestUnframedAnswersEndWithTheTarget);
+  CPPUNIT_TEST(TestUnframedAnswerThroughAnOlderPeerIsNotComplete);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -297,6 +301,9 @@
     are_open_connections_hanging_ = false;
     open_connections_.clear();
     n_to_break_ = 0;
+    is_framed_ = true;
+    is_answer_held_ = false;
+    n_held_ = 0;
     for (int i = 0; i < 6; ++i) {
       targets_.push_back(std::make_unique<FakeTarget>(
           [this](LoopbackConnection& connection, const std::string& header) {
@@ -411,7 +418,83 @@
     EXPECT(instance_->n_reported >= 1);
   }
 
+  // The end of the peer was taken for the end of the target's answer.
+  void TestStreamGoesOnWhenThePeerThatRelaysItEnds() {
+    const RefusingAddress refusing;
+    ApplyAddress(refusing.Address());
+    HoldUnframedAnswers();
+    std::string answer;
+    std::thread caller([&] {
+      answer = instance_->Request("GET", "/stream/a", "\r\n0\r\n\r\n");
+    });
+    EndPeerOfHeldAnswer();
+    caller.join();
+    EXPECT(answer.ends_with("\r\n0\r\n\r\n"));
+    for (const char* it : {"id: 1\n", "id: 2\n", "id: 3\n"}) {
+      EXPECT(answer.find(it) != std::string::npos);
+      EXPECT_EQ(answer.find(it), answer.rfind(it));
+    }
+  }
+
+  // The same for calls, of which the caller got a part as the whole.
+  void TestCallIsNotCompleteWhenThePeerThatRelaysItEnds() {
+    const RefusingAddress refusing;
+    ApplyAddress(refusing.Address());
+    HoldUnframedAnswers();
+    std::string answer;
+    std::thread caller(
+        [&] { answer = instance_->Request("POST", "/once/a", "\r\n\r\n"); });
+    EndPeerOfHeldAnswer();
+    caller.join();
+    EXPECT(answer.starts_with("HTTP/1.1 502 "));
+  }
+
+  void TestUnframedAnswersEndWithTheTarget() {
+    const RefusingAddress refusing;
+    ApplyAddress(refusing.Address());
+    is_framed_ = false;
+    ExpectAllServed();
+  }
+
+  // An older peer does not mark the end of the target, so it can't be told from
+  // its own.
+  void TestUnframedAnswerThroughAnOlderPeerIsNotComplete() {
+    const RefusingAddress refusing;
+    ApplyAddress(refusing.Address());
+    FakeTarget older_peer(
+        [this](LoopbackConnection& connection, const std::string& header) {
+          if (header.starts_with("CONNECT ")) {
+            return connection.Send("HTTP/1.1 200 OK\r\n\r\n");
+          }
+          return Serve(connection, header);
+        });
+    instance_->SetPeers({{"older", "a", older_peer.Address(), true}});
+    EXPECT(instance_->Request("POST", "/once/a", "body")
+               .starts_with("HTTP/1.1 200 "));
+    is_framed_ = false;
+    EXPECT(instance_->Request("POST", "/once/a", "\r\n\r\n")
+               .starts_with("HTTP/1.1 502 "));
+  }
+
  private:
+  /// From now on, targets send unframed answers. They stop after the first part
+  /// of the first one.
+  void HoldUnframedAnswers() {
+    is_framed_ = false;
+    is_answer_held_ = true;
+  }
+
+  /// Ends the peer when it has relayed the first part of an answer, then starts
+  /// another one.
+  void EndPeerOfHeldAnswer() {
+    for (int i = 0; i < 300 && n_held_ == 0; ++i) {
+      std::this_thread::sleep_for(Millis{10}.ToChrono());
+    }
+    std::this_thread::sleep_for(Millis{100}.ToChrono());
+    peer_.reset();
+    StartPeer([this](size_t i) { return targets_[i]->Address(); });
+  }
+
   void WaitForReports() const {
     for (int i = 0; i < 150 && instance_->n_reported == 0; ++i) {
       std::this_thread::sleep_for(Millis{10}.ToChrono());
@@ -430,6 +513,9 @@
       ++n_swallowed_;
       return true;
     }
+    if (!is_framed_) {
+      return ServeUnframed(connection, header);
+    }
     const std::string id = HeaderField(header, "Request-Id");
     if (!header.starts_with("GET /stream/")) {
       return connection.Send(
@@ -449,6 +535,29 @@
     return connection.Send("0\r\n\r\n");
   }
 
+  /// Sends an answer that ends with the connection.
+  bool ServeUnframed(LoopbackConnection & connection,
+                     const std::string& header) {
+    const bool is_stream = header.starts_with("GET /stream/");
+    connection.Send(
+        fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nSeal: s\r\n{}"
+                    "Connection: close\r\n\r\n",
+                    HeaderField(header, "Request-Id"),
+                    is_stream ? "Content-Type: text/event-stream\r\n" : ""));
+    const std::string after = HeaderField(header, "After-Event");
+    const int first = after.empty() ? 1 : std::stoi(after) + 1;
+    for (int i = first; i <= 3; ++i) {
+      connection.Send(is_stream ? fmt::format("id: {0}\ndata: {0}\n\n", i)
+                                : "body");
+      if (is_answer_held_.exchange(false)) {
+        ++n_held_;
+        connection.ClosesWithin(kReadTimeoutMs);
+        return false;
+      }
+    }
+    return false;
+  }
+
   bool IsHanging(const LoopbackConnection& connection) {
     const std::lock_guard lock(mutex_);
     if (!are_open_connections_hanging_) {
@@ -543,6 +652,10 @@
   std::atomic<bool> are_open_connections_hanging_ = false;
   std::atomic<int> n_swallowed_ = 0;
   std::atomic<int> n_to_break_ = 0;
+  /// False when answers end with their connection.
+  std::atomic<bool> is_framed_ = true;
+  std::atomic<bool> is_answer_held_ = false;
+  std::atomic<int> n_held_ = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CutPathTest);
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -1118,7 +1118,7 @@
                     const ResponseReader& reader,
                     bool is_body_complete) {
     if (is_body_complete && reader.HasDelimitedBody() && reader.IsKeptAlive() &&
-        connection->IsWriteDone() && connection->Buffer().size() == 0) {
+        connection->IsWriteDone() && connection->IsBetweenResponses()) {
       forwarder_->path_monitor.ReturnIdle(connection);
     } else {
       connection->Socket().Close();
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -35,12 +35,11 @@
       is_reading_header_ = true;
     }
     socket.SetDeadline(deadline);
-    const auto [ec, n] = co_await bhttp::async_read_header(
-        socket.Raw(), connection_->Buffer(), *parser_, net::kAsTuple);
-    socket.ClearDeadline();
-    if (n > 0) {
-      connection_->last_heard_at = base::Clock::Now();
+    net::ErrorCode ec;
+    while (!ec && !parser_->is_header_done()) {
+      ec = co_await Parse();
     }
+    socket.ClearDeadline();
     if (ec) {
       co_return socket.HasTimedOut() ? ReadStatus::kTimedOut
                                      : ReadStatus::kBroken;
@@ -59,6 +58,26 @@
   }
 }
 
+net::asio::awaitable<net::ErrorCode> ResponseReader::Parse() {
+  auto& received = connection_->Buffer();
+  net::ErrorCode ec;
+  if (received.size() == 0) {
+    ec = co_await connection_->Receive();
+  }
+  while (!ec) {
+    received.consume(parser_->put(received.data(), ec));
+    if (ec != bhttp::error::need_more) {
+      co_return ec;
+    }
+    ec = co_await connection_->Receive();
+  }
+  if (ec == net::asio::error::eof && parser_->got_some()) {
+    ec = {};
+    parser_->put_eof(ec);
+  }
+  co_return ec;
+}
+
 net::asio::awaitable<ReadStatus> ResponseReader::ReadBodyPart(
     std::string* into,
     base::Millis deadline) {
@@ -72,12 +91,8 @@
   body.more = true;
   net::TimedSocket& socket = connection_->Socket();
   socket.SetDeadline(deadline);
-  auto [ec, n] = co_await bhttp::async_read_some(
-      socket.Raw(), connection_->Buffer(), *parser_, net::kAsTuple);
+  net::ErrorCode ec = co_await Parse();
   socket.ClearDeadline();
-  if (n > 0) {
-    connection_->last_heard_at = base::Clock::Now();
-  }
   into->append(buf.data(), buf.size() - body.size);
   if (ec == bhttp::error::need_buffer) {
     ec = {};
--- a/src/forward/response_reader.h
+++ b/src/forward/response_reader.h
@@ -9,7 +9,6 @@
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include "base/name_table.h"
 #include "forward/target_connection.h"
@@ -78,6 +77,10 @@
   // Large enough for most single stream events and most complete responses.
   static constexpr size_t kReadBufferBytes = 8192;
 
+  /// Passes received bytes to the parser, after waiting for some if there are
+  /// none.
+  net::asio::awaitable<net::ErrorCode> Parse();
+
   std::shared_ptr<TargetConnection> connection_;
   bool has_body_;
   /// True while a header has been read only in part, also after a timeout.
--- a/src/forward/target_call.cc
+++ b/src/forward/target_call.cc
@@ -45,7 +45,7 @@
   answer.status = reader.Status();
   answer.fields = reader.Fields();
   if (reader.HasDelimitedBody() && reader.IsKeptAlive() &&
-      connection->Buffer().size() == 0) {
+      connection->IsBetweenResponses()) {
     forwarder->path_monitor.ReturnIdle(connection);
   } else {
     connection->Socket().Close();
--- a/src/forward/target_connection.cc
+++ b/src/forward/target_connection.cc
@@ -1,12 +1,22 @@
 #include "forward/target_connection.h"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/read_size.hpp>
 
 namespace daisypond::forward {
 
+namespace {
+
+constexpr size_t kMaximumReadBytes = 64u << 10;
+constexpr size_t kFrameReadBytes = 8u << 10;
+
+}  // namespace
+
 TargetConnection::TargetConnection(const net::asio::any_io_executor& executor,
                                    std::string target,
                                    std::string address)
@@ -30,4 +40,61 @@
       });
 }
 
+void TargetConnection::OnTunnelOpened(tunnel::Framing framing) {
+  decoder_.reset();
+  if (framing == tunnel::Framing::kFrames) {
+    decoder_.emplace();
+  }
+}
+
+net::asio::awaitable<net::ErrorCode> TargetConnection::Receive() {
+  if (decoder_) {
+    co_return co_await ReceiveFrames();
+  }
+  const net::ErrorCode ec = co_await ReceiveBytes();
+  co_return ec == net::asio::error::eof&& Route() == ConnectionRoute::kTunnel
+      ? net::asio::error::make_error_code(net::asio::error::connection_aborted)
+      : ec;
+}
+
+net::asio::awaitable<net::ErrorCode> TargetConnection::ReceiveBytes() {
+  const size_t size = boost::beast::read_size(buffer_, kMaximumReadBytes);
+  if (size == 0) {
+    co_return net::asio::error::make_error_code(
+        net::asio::error::no_buffer_space);
+  }
+  const auto [ec, n] = co_await socket_.Raw().async_read_some(
+      buffer_.prepare(size), net::kAsTuple);
+  buffer_.commit(n);
+  last_heard_at = n > 0 ? base::Clock::Now() : last_heard_at;
+  co_return ec;
+}
+
+net::asio::awaitable<net::ErrorCode> TargetConnection::ReceiveFrames() {
+  std::array<char, kFrameReadBytes> buf;
+  std::string data;
+  while (data.empty()) {
+    if (decoder_->HasEnded()) {
+      co_return net::asio::error::make_error_code(net::asio::error::eof);
+    }
+    const auto [ec, n] = co_await socket_.Raw().async_read_some(
+        net::asio::buffer(buf), net::kAsTuple);
+    if (ec) {
+      co_return ec == net::asio::error::eof
+          ? net::asio::error::make_error_code(
+                net::asio::error::connection_aborted)
+          : ec;
+    }
+    if (!decoder_->Decode({buf.data(), n}, &data) ||
+        buffer_.size() + data.size() > buffer_.max_size()) {
+      co_return net::asio::error::make_error_code(
+          net::asio::error::connection_aborted);
+    }
+  }
+  net::asio::buffer_copy(buffer_.prepare(data.size()), net::asio::buffer(data));
+  buffer_.commit(data.size());
+  last_heard_at = base::Clock::Now();
+  co_return net::ErrorCode();
+}
+
 }  // namespace daisypond::forward
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -10,6 +11,8 @@
 #include "base/clock.h"
 #include "forward/connection_route.h"
 #include "net/timed_socket.h"
+#include "tunnel/frame.h"
+#include "tunnel/framing.h"
 
 namespace daisypond::forward {
 
@@ -34,6 +37,22 @@
   /// read the complete request.
   void StartWrite(std::string bytes);
 
+  /// Waits for the next bytes of the target and appends them to Buffer().
+  /// Returns net::asio::error::eof only when the target itself has closed the
+  /// connection. If it can't be told whether that was the target or the peer
+  /// that relays the bytes, returns net::asio::error::connection_aborted.
+  net::asio::awaitable<net::ErrorCode> Receive();
+
+  /// To be called when a tunnel has been opened, with the form in which it
+  /// carries the target's bytes.
+  void OnTunnelOpened(tunnel::Framing framing);
+
+  /// True when no bytes have arrived beyond the response that was read last.
+  bool IsBetweenResponses() const {
+    return buffer_.size() == 0 && (!decoder_ || (decoder_->IsBetweenFrames() &&
+                                                 !decoder_->HasEnded()));
+  }
+
   bool IsWriteDone() const { return is_write_done_; }
 
   /// True when the write has ended, with an error, before any byte was written.
@@ -80,8 +99,15 @@
   base::Millis idle_since;
 
  private:
+  /// Reads from the socket into Buffer().
+  net::asio::awaitable<net::ErrorCode> ReceiveBytes();
+  /// Reads frames from the socket and appends their data to Buffer().
+  net::asio::awaitable<net::ErrorCode> ReceiveFrames();
+
   net::TimedSocket socket_;
   boost::beast::flat_buffer buffer_;
+  /// Set if the bytes arrive in frames.
+  std::optional<tunnel::FrameDecoder> decoder_;
   std::string target_;
   std::string address_;
   std::string write_buffer_;
--- a/src/net/timed_socket.cc
+++ b/src/net/timed_socket.cc
@@ -107,11 +107,17 @@
 }
 
 void TimedSocket::Reset() {
-  ErrorCode ignored;
-  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  SetCloseMode(CloseMode::kReset);
   Close();
 }
 
+void TimedSocket::SetCloseMode(CloseMode mode) {
+  // A linger option that Asio knows of is withdrawn by its destructors.
+  const linger option{mode == CloseMode::kReset ? 1 : 0, 0};
+  setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &option,
+             sizeof(option));
+}
+
 bool TimedSocket::HasUnreadBytes() {
   return socket_.is_open() &&
          Peek(socket_.native_handle()) == PeekResult::kData;
--- a/src/net/timed_socket.h
+++ b/src/net/timed_socket.h
@@ -33,6 +33,13 @@
   kKeepAliveProbes,
 };
 
+/// What the other end of a connection sees when a socket is closed.
+enum class CloseMode : uint8_t {
+  /// The end of data, after all bytes that were written.
+  kOrderly,
+  kReset,
+};
+
 /// A TCP socket whose pending reads, writes and connects are cancelled when a
 /// deadline passes. Must only be used on the thread of its executor.
 class TimedSocket {
@@ -69,6 +76,10 @@
   /// Closes the socket so that the other end sees a reset.
   void Reset();
 
+  /// Sets what the other end sees when the socket is closed by Close() or by
+  /// the end of this process.
+  void SetCloseMode(CloseMode mode);
+
   /// True when received bytes wait to be read. Does not block or consume bytes.
   bool HasUnreadBytes();
 
--- a/src/tunnel/byte_relay.h
+++ b/src/tunnel/byte_relay.h
@@ -12,6 +12,7 @@
 
 #include "base/name_table.h"
 #include "net/timed_socket.h"
+#include "tunnel/framing.h"
 
 namespace daisypond::tunnel {
 
@@ -38,14 +39,18 @@
 /// Copies bytes between the connection of a requesting instance and the
 /// connection to a target. Passes on the end of each direction. When one
 /// connection fails, resets the other, so that bytes cut off by a failure never
-/// look complete. Reads no more than one buffer ahead of the slower side.
+/// look complete. The same holds when this process ends: then the end mark is
+/// missing, or without frames the requester's connection is reset. Reads no
+/// more than one buffer ahead of the slower side.
 class ByteRelay : public std::enable_shared_from_this<ByteRelay> {
  public:
   static constexpr size_t kBufferBytes = 8u << 10;
 
-  /// Both sockets must be connected.
+  /// Both sockets must be connected. `framing` is that of the bytes to the
+  /// requester.
   ByteRelay(std::unique_ptr<net::TimedSocket> requester,
-            std::unique_ptr<net::TimedSocket> target);
+            std::unique_ptr<net::TimedSocket> target,
+            Framing framing);
 
   /// Starts to copy and returns at once. `first_bytes`, of at most kBufferBytes
   /// bytes, go to the target first. `on_ended` is called once, when both
@@ -61,6 +66,7 @@
     RelayEnd read_failure;
     RelayEnd write_failure;
     uint64_t* n_written;
+    Framing framing = Framing::kNone;
     /// Number of bytes at the start of `buf` that are not written yet.
     size_t n_pending = 0;
     std::array<char, kBufferBytes> buf{};
@@ -69,6 +75,10 @@
   net::asio::awaitable<void> Run(Flow* flow);
   /// Copies until the source's end of data. Returns kClosed for that.
   net::asio::awaitable<RelayEnd> Copy(Flow* flow);
+  /// Writes the pending bytes, in a frame if the flow has frames.
+  static net::asio::awaitable<net::ErrorCode> Write(Flow* flow);
+  /// Writes the end mark if the flow has frames.
+  static net::asio::awaitable<net::ErrorCode> WriteEnd(Flow* flow);
   void OnFailed(RelayEnd end);
 
   std::unique_ptr<net::TimedSocket> requester_;
--- a/src/tunnel/client.cc
+++ b/src/tunnel/client.cc
@@ -26,7 +26,7 @@
 
 /// Reads up to the end of the answer and no further, because the bytes after it
 /// belong to the target.
-awaitable<Status> ReadAnswer(net::TimedSocket* socket) {
+awaitable<OpenResult> ReadAnswer(net::TimedSocket* socket) {
   std::string answer;
   std::array<char, kMaximumHandshakeBytes> buf{};
   while (!socket->HasTimedOut()) {
@@ -46,50 +46,50 @@
     answer.append(buf.data(), n_read);
     const auto parsed = ParseAnswer(answer);
     if (parsed) {
-      co_return parsed->status;
+      co_return OpenResult{parsed->status, parsed->framing};
     }
     if (parsed.error() == ParseError::kMalformed) {
       break;
     }
   }
-  co_return Status::kPeerUnreachable;
+  co_return OpenResult{Status::kPeerUnreachable, Framing::kNone};
 }
 
-awaitable<Status> Connect(net::TimedSocket* socket,
-                          const std::string& peer_address,
-                          const std::string& request,
-                          base::Millis deadline) {
+awaitable<OpenResult> Connect(net::TimedSocket* socket,
+                              const std::string& peer_address,
+                              const std::string& request,
+                              base::Millis deadline) {
   const net::ErrorCode ec = co_await socket->Connect(peer_address, deadline);
   if (ec) {
-    co_return Status::kPeerUnreachable;
+    co_return OpenResult{Status::kPeerUnreachable, Framing::kNone};
   }
   socket->SetTcpOptions(net::DeadPeerDetection::kKeepAliveProbes);
   socket->SetDeadline(deadline);
   const auto [write_ec, n] = co_await net::asio::async_write(
       socket->Raw(), net::asio::buffer(request), net::kAsTuple);
   if (write_ec) {
-    co_return Status::kPeerUnreachable;
+    co_return OpenResult{Status::kPeerUnreachable, Framing::kNone};
   }
   co_return co_await ReadAnswer(socket);
 }
 
 }  // namespace
 
-awaitable<Status> Open(net::TimedSocket* socket,
-                       std::string peer_address,
-                       ConnectRequest request,
-                       base::Millis deadline) {
+awaitable<OpenResult> Open(net::TimedSocket* socket,
+                           std::string peer_address,
+                           ConnectRequest request,
+                           base::Millis deadline) {
   const std::optional<std::string> text = FormatRequest(request);
-  Status status = Status::kRefused;
+  OpenResult result;
   if (text) {
-    status = co_await Connect(socket, peer_address, *text, deadline);
+    result = co_await Connect(socket, peer_address, *text, deadline);
   }
-  if (status == Status::kOpen) {
+  if (result.status == Status::kOpen) {
     socket->ClearDeadline();
   } else {
     socket->Reset();
   }
-  co_return status;
+  co_return result;
 }
 
 }  // namespace daisypond::tunnel
--- a/src/tunnel/connect_request.h
+++ b/src/tunnel/connect_request.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "tunnel/framing.h"
+
 namespace daisypond::tunnel {
 
 /// What an instance tells a peer to open a tunnel.
@@ -15,6 +17,9 @@
   int64_t started_at = 0;
   /// Name of the instance that requests the tunnel.
   std::string instance;
+  /// The form in which the instance wants the target's bytes. A peer that does
+  /// not know it uses kNone.
+  Framing framing = Framing::kNone;
 
   bool operator==(const ConnectRequest&) const = default;
 };
--- a/src/tunnel/handshake.cc
+++ b/src/tunnel/handshake.cc
@@ -15,6 +15,7 @@
 constexpr std::string_view kMethod = "CONNECT ";
 constexpr std::string_view kProtocolSuffix = " HTTP/1.1";
 constexpr std::string_view kAnswerStart = "HTTP/1.1 ";
+constexpr std::string_view kFramingField = "Tunnel-Framing";
 
 bool IsName(std::string_view text) {
   return !text.empty() && text.size() <= kMaximumNameBytes &&
@@ -73,6 +74,7 @@
   std::string_view host;
   std::string_view started_at;
   std::string_view instance;
+  std::string_view framing;
 
   /// Returns the member for a field name, or null for other names.
   std::string_view* Find(std::string_view name) {
@@ -82,6 +84,9 @@
     if (IsSameFieldName(name, "Target-Started-At")) {
       return &started_at;
     }
+    if (IsSameFieldName(name, kFramingField)) {
+      return &framing;
+    }
     return IsSameFieldName(name, "Requesting-Instance") ? &instance : nullptr;
   }
 };
@@ -111,6 +116,33 @@
   return true;
 }
 
+/// A form that this build does not know is not used.
+Framing ParseFraming(std::string_view text) {
+  return text == kFramingNames.NameOf(Framing::kFrames) ? Framing::kFrames
+                                                        : Framing::kNone;
+}
+
+/// Returns the field that names the form, with its line end; empty for kNone.
+std::string FormatFraming(Framing framing) {
+  return framing == Framing::kNone ? ""
+                                   : fmt::format("{}: {}\r\n", kFramingField,
+                                                 kFramingNames.NameOf(framing));
+}
+
+/// Finds the form among the fields of an answer, of which all others are
+/// ignored.
+Framing FindFraming(std::string_view fields) {
+  while (!fields.empty()) {
+    const std::string_view line = TakeLine(&fields);
+    const size_t colon = line.find(": ");
+    if (colon != std::string_view::npos &&
+        IsSameFieldName(line.substr(0, colon), kFramingField)) {
+      return ParseFraming(line.substr(colon + 2));
+    }
+  }
+  return Framing::kNone;
+}
+
 std::optional<std::string_view> ParseRequestLine(std::string_view line) {
   if (!line.starts_with(kMethod) || !line.ends_with(kProtocolSuffix) ||
       line.size() <= kMethod.size() + kProtocolSuffix.size()) {
@@ -137,7 +169,8 @@
     return std::nullopt;
   }
   return ConnectRequest{std::string(*target), *started_at,
-                        std::string(fields.instance)};
+                        std::string(fields.instance),
+                        ParseFraming(fields.framing)};
 }
 
 }  // namespace
@@ -151,8 +184,10 @@
       "CONNECT {} HTTP/1.1\r\n"
       "Host: {}\r\n"
       "Target-Started-At: {}\r\n"
-      "Requesting-Instance: {}\r\n\r\n",
-      request.target, request.target, request.started_at, request.instance);
+      "Requesting-Instance: {}\r\n"
+      "{}\r\n",
+      request.target, request.target, request.started_at, request.instance,
+      FormatFraming(request.framing));
 }
 
 tl::expected<ParsedRequest, ParseError> ParseRequest(std::string_view bytes) {
@@ -167,10 +202,10 @@
   return ParsedRequest{std::move(*request), header->size() + kHeaderEnd.size()};
 }
 
-std::string FormatAnswer(Status status) {
+std::string FormatAnswer(Status status, Framing framing) {
   switch (status) {
     case Status::kOpen:
-      return "HTTP/1.1 200 OK\r\n\r\n";
+      return fmt::format("HTTP/1.1 200 OK\r\n{}\r\n", FormatFraming(framing));
     case Status::kTargetUnreachable:
       return "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n";
     default:
@@ -183,18 +218,19 @@
   if (!header) {
     return tl::unexpected(header.error());
   }
-  const std::string_view status = header->substr(kAnswerStart.size());
+  std::string_view fields = *header;
+  const std::string_view status = TakeLine(&fields).substr(kAnswerStart.size());
   const size_t size = header->size() + kHeaderEnd.size();
   // The reason follows a space.
   const std::string_view code = status.substr(0, status.find_first_of(" \r"));
   if (code == "200") {
-    return ParsedAnswer{Status::kOpen, size};
+    return ParsedAnswer{Status::kOpen, FindFraming(fields), size};
   }
   if (code == "502") {
-    return ParsedAnswer{Status::kTargetUnreachable, size};
+    return ParsedAnswer{Status::kTargetUnreachable, Framing::kNone, size};
   }
   if (code == "503") {
-    return ParsedAnswer{Status::kRefused, size};
+    return ParsedAnswer{Status::kRefused, Framing::kNone, size};
   }
   return tl::unexpected(ParseError::kMalformed);
 }
--- a/src/tunnel/handshake.h
+++ b/src/tunnel/handshake.h
@@ -11,6 +11,7 @@
 
 #include "base/name_table.h"
 #include "tunnel/connect_request.h"
+#include "tunnel/framing.h"
 #include "tunnel/status.h"
 
 namespace daisypond::tunnel {
@@ -34,6 +35,8 @@
 
 struct ParsedAnswer {
   Status status = Status::kRefused;
+  /// The form in which the target's bytes follow.
+  Framing framing = Framing::kNone;
   /// Number of bytes that belong to the answer. Bytes that follow belong to
   /// the tunnelled connection.
   size_t size = 0;
@@ -48,7 +51,8 @@
 tl::expected<ParsedRequest, ParseError> ParseRequest(std::string_view bytes);
 
 /// Returns the answer to a request. `status` must not be kPeerUnreachable.
-std::string FormatAnswer(Status status);
+/// `framing` is of use only with kOpen.
+std::string FormatAnswer(Status status, Framing framing = Framing::kNone);
 
 /// Parses the answer at the start of `bytes`, which are all bytes received so
 /// far.
--- a/src/tunnel/handshake_test.cc
+++ b/src/tunnel/handshake_test.cc
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(TestSplitAnswerIsIncomplete);
   CPPUNIT_TEST(TestMalformedAnswersAreRejected);
   CPPUNIT_TEST(TestRandomBytesAreHandled);
+  CPPUNIT_TEST(TestFramingIsNegotiated);
+  CPPUNIT_TEST(TestBuildsWithoutFramesUseNone);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +59,25 @@
     EXPECT_EQ(std::string(kRequest).size(), parsed->size);
   }
 
+  void TestFramingIsNegotiated() {
+    const ConnectRequest request{"t-1", 17, "front-1", Framing::kFrames};
+    EXPECT(request == ParseRequest(FormatRequest(request).value())->request);
+    const std::string answer = FormatAnswer(Status::kOpen, Framing::kFrames);
+    const auto parsed = ParseAnswer(answer + "bytes");
+    EXPECT(parsed->status == Status::kOpen);
+    EXPECT(parsed->framing == Framing::kFrames);
+    EXPECT_EQ(answer.size(), parsed->size);
+  }
+
+  void TestBuildsWithoutFramesUseNone() {
+    EXPECT(ParseRequest(kRequest)->request.framing == Framing::kNone);
+    EXPECT(ParseAnswer("HTTP/1.1 200 OK\r\n\r\n")->framing == Framing::kNone);
+    EXPECT(ParseAnswer("HTTP/1.1 200 OK\r\nTunnel-Framing: later\r\n\r\n")
+               ->framing == Framing::kNone);
+    EXPECT_EQ(std::string("HTTP/1.1 200 OK\r\n\r\n"),
+              FormatAnswer(Status::kOpen));
+  }
+
   void TestNamesThatDoNotFitAreNotFormatted() {
     for (const std::string& it :
          {std::string(), std::string("a b"), std::string("a\r\nb"),
@@ -69,7 +90,7 @@
 
   void TestLongestRequestFits() {
     const std::string name(kMaximumNameBytes, 'a');
-    const ConnectRequest request{name, INT64_MAX, name};
+    const ConnectRequest request{name, INT64_MAX, name, Framing::kFrames};
     const std::string text = FormatRequest(request).value();
     EXPECT(text.size() <= kMaximumHandshakeBytes);
     EXPECT(request == ParseRequest(text)->request);
--- a/src/tunnel/server.cc
+++ b/src/tunnel/server.cc
@@ -64,8 +64,10 @@
 }
 
 /// Sends the answer. Returns false when the connection failed.
-awaitable<bool> SendAnswer(net::TimedSocket* requester, Status status) {
-  const std::string answer = FormatAnswer(status);
+awaitable<bool> SendAnswer(net::TimedSocket* requester,
+                           Status status,
+                           Framing framing = Framing::kNone) {
+  const std::string answer = FormatAnswer(status, framing);
   const auto [ec, n] = co_await net::asio::async_write(
       requester->Raw(), net::asio::buffer(answer), net::kAsTuple);
   co_return !ec;
@@ -188,8 +190,8 @@
     co_await Refuse(std::move(handshake), Status::kTargetUnreachable);
     co_return;
   }
-  const bool is_answered =
-      co_await SendAnswer(handshake.requester.get(), Status::kOpen);
+  const bool is_answered = co_await SendAnswer(
+      handshake.requester.get(), Status::kOpen, handshake.request.framing);
   if (!is_answered) {
     --n_tunnels_;
     target->Reset();
@@ -209,8 +211,9 @@
                         std::unique_ptr<net::TimedSocket> target) {
   const base::Millis opened_at = base::Clock::Now();
   LogOpened(handshake.request, opened_at - handshake.began_at);
-  const auto relay = std::make_shared<ByteRelay>(std::move(handshake.requester),
-                                                 std::move(target));
+  const auto relay =
+      std::make_shared<ByteRelay>(std::move(handshake.requester),
+                                  std::move(target), handshake.request.framing);
   relay->Start(handshake.first_bytes,
                [this, request = std::move(handshake.request),
                 opened_at](const RelayResult& result) {
--- a/src/tunnel/tunnel_test.cc
+++ b/src/tunnel/tunnel_test.cc
@@ -221,10 +221,13 @@
 /// The result of Open(). `connection` is null unless the status is kOpen.
 struct Opened {
   Status status = Status::kPeerUnreachable;
+  Framing framing = Framing::kNone;
   std::unique_ptr<Connection> connection;
 };
 
-Opened OpenTunnel(const std::string& peer, const std::string& target) {
+Opened OpenTunnel(const std::string& peer,
+                  const std::string& target,
+                  Framing framing = Framing::kNone) {
   asio::io_context io(1);
   net::TimedSocket socket(io.get_executor());
   socket.Raw().open(net::Tcp::v4());
@@ -234,9 +237,11 @@
   asio::co_spawn(
       io,
       [&]() -> asio::awaitable<void> {
-        const ConnectRequest request{target, 1, "front-1"};
-        opened.status = co_await Open(&socket, peer, request,
-                                      base::Clock::Now() + kOpenTimeout);
+        const ConnectRequest request{target, 1, "front-1", framing};
+        const OpenResult result = co_await Open(
+            &socket, peer, request, base::Clock::Now() + kOpenTimeout);
+        opened.status = result.status;
+        opened.framing = result.framing;
       },
       asio::detached);
   io.run();
@@ -282,6 +287,9 @@
   CPPUNIT_TEST(TestBrokenAnswerIsUnreachable);
   CPPUNIT_TEST(TestBytesAfterASplitAnswerAreKept);
   CPPUNIT_TEST(TestIdThatDoesNotFitIsRefused);
+  CPPUNIT_TEST(TestEndOfTargetIsMarked);
+  CPPUNIT_TEST(TestEndOfPeerIsNotMarked);
+  CPPUNIT_TEST(TestEndOfPeerResetsTunnelWithoutFrames);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -512,6 +520,47 @@
     EXPECT_EQ(std::string("hello"), opened.connection->Read(5));
   }
 
+  void TestEndOfTargetIsMarked() {
+    const Listener target;
+    Peer peer({{"t", target.Address()}});
+    const Opened opened = OpenTunnel(peer.Address(), "t", Framing::kFrames);
+    EXPECT(opened.framing == Framing::kFrames);
+    const auto at_target = target.Accept();
+    opened.connection->Send("request");
+    EXPECT_EQ(std::string("request"), at_target->Read(7));
+    at_target->Send("answer");
+    EXPECT_EQ(std::string("\0\6answer", 8), opened.connection->Read(8));
+    at_target->Close();
+    EXPECT_EQ(std::string("\0\0", 2), opened.connection->Read(100));
+    EXPECT(opened.connection->ReadToEnd() == ReadEnd::kEndOfData);
+  }
+
+  // An instance took the end of its peer for the end of the target's answer.
+  void TestEndOfPeerIsNotMarked() {
+    const Listener target;
+    auto peer = std::make_unique<Peer>(
+        std::map<std::string, std::string>{{"t", target.Address()}});
+    const Opened opened = OpenTunnel(peer->Address(), "t", Framing::kFrames);
+    const auto at_target = target.Accept();
+    at_target->Send("part");
+    EXPECT_EQ(std::string("\0\4part", 6), opened.connection->Read(6));
+    peer.reset();
+    EXPECT_EQ(std::string(), opened.connection->Read(100));
+  }
+
+  // The same with an instance of a build that knows no frames.
+  void TestEndOfPeerResetsTunnelWithoutFrames() {
+    const Listener target;
+    auto peer = std::make_unique<Peer>(
+        std::map<std::string, std::string>{{"t", target.Address()}});
+    const Opened opened = OpenTunnel(peer->Address(), "t");
+    const auto at_target = target.Accept();
+    at_target->Send("part");
+    EXPECT_EQ(std::string("part"), opened.connection->Read(4));
+    peer.reset();
+    EXPECT(opened.connection->ReadToEnd() == ReadEnd::kReset);
+  }
+
   void TestIdThatDoesNotFitIsRefused() {
     const Listener peer;
     EXPECT(OpenTunnel(peer.Address(), "a b").status == Status::kRefused);
