Compare versions of the table service within one era only

Cause: the service's versions go back and are given out again; nothing read Store-Era. The watcher threw the complete list away as outdated, or, once the counter had passed the old version, never read what was written below it; targets from peers were ordered by version as well.

Change: a version is a number and an era. A watcher that meets another era reads the whole table; peers exchange the era. Entries that the copy lacks are kept as after an outage; a process that was leaving or had left is not brought back by the copy. Recorded versions and records of streams are written again. Targets of builds that name no era are not adopted once a return has been seen.

--- a/src/catalog/row.h
+++ b/src/catalog/row.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "base/name_table.h"
+#include "catalog/table_version.h"
 
 namespace daisypond::catalog {
 
@@ -31,7 +32,7 @@
   /// True when the table has further rows after those of this page.
   bool has_more = false;
   /// Version of the table when the page was created.
-  uint64_t version = 0;
+  TableVersion version;
 };
 
 /// Why reading from the table service failed.
--- a/src/catalog/table_watcher.h
+++ b/src/catalog/table_watcher.h
@@ -16,6 +16,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "catalog/row.h"
+#include "catalog/table_version.h"
 
 namespace daisypond::catalog {
 
@@ -44,13 +45,13 @@
 struct TableWatcherCallbacks {
   /// Called with all rows after the complete table was read, and the version
   /// that was read.
-  std::function<void(const std::vector<Row>&, uint64_t version)> on_listed;
+  std::function<void(const std::vector<Row>&, TableVersion version)> on_listed;
   /// Called with the changed rows after each read that returned any, and the
   /// version up to which these are all changes.
-  std::function<void(const std::vector<Row>&, uint64_t version)> on_changed;
+  std::function<void(const std::vector<Row>&, TableVersion version)> on_changed;
   /// Called after each successful read with the version that was read, before
   /// the callback that gets the rows.
-  std::function<void(uint64_t version)> on_available;
+  std::function<void(TableVersion version)> on_available;
   /// Called after each failed read, except for kHistoryGone.
   std::function<void(TableReadError)> on_unavailable;
   /// Called once after failed reads, when all changes made until then have been
@@ -63,7 +64,7 @@
 
 /// Follows the changes of one table. Reads the complete table first, then waits
 /// for changes. Reads the complete table again when the table service no longer
-/// stores the changes since the last read.
+/// stores the changes since the last read, or has returned from a copy.
 template <TableReader Reader>
 class TableWatcher {
  public:
@@ -100,18 +101,27 @@
       co_return co_await ListAll();
     }
     const TableReadResult result = co_await reader_->WaitForChanges(
-        options_.table, version_, LimitWait(*wait));
+        options_.table, version_.number, LimitWait(*wait));
     if (!result) {
       co_return HandleError(result.error());
     }
-    HandleSuccess(result->version);
+    const TableVersion version = WithEra(result->version);
+    if (version < TableVersion{0, version_.era}) {
+      co_return HandleError(TableReadError::kOutdated);
+    }
+    if (version.era != version_.era) {
+      // These rows are not all changes since the last read.
+      is_listed_ = false;
+      co_return base::Millis{0};
+    }
+    HandleSuccess(version);
     if (result->rows.empty()) {
       if (std::exchange(is_catching_up_, false)) {
         callbacks_.on_caught_up();
       }
       co_return base::Millis{0};
     }
-    callbacks_.on_changed(result->rows, result->version);
+    callbacks_.on_changed(result->rows, version);
     co_return options_.change_batch_delay;
   }
 
@@ -130,7 +140,7 @@
   boost::asio::awaitable<base::Millis> ListAll() {
     std::vector<Row> rows;
     std::string from;
-    uint64_t version = 0;
+    std::optional<TableVersion> version;
     bool has_more = true;
     while (has_more) {
       const TableReadResult page =
@@ -140,7 +150,11 @@
       }
       // Uses the version of the first page, so that WaitForChanges() also
       // returns the changes made while the other pages were read.
-      version = version == 0 ? page->version : version;
+      version = version.value_or(WithEra(page->version));
+      if (WithEra(page->version).era != version->era) {
+        // The pages don't fit together.
+        co_return base::Millis{0};
+      }
       rows.insert(rows.end(), page->rows.begin(), page->rows.end());
       has_more = page->has_more && !page->rows.empty();
       if (has_more) {
@@ -149,17 +163,38 @@
         from = page->rows.back().key + '\0';
       }
     }
-    if (version < version_) {
+    if (*version < version_) {
       // The response came from a replica that lags behind an earlier response.
       co_return HandleError(TableReadError::kOutdated);
     }
-    HandleSuccess(version);
+    if (version->era != version_.era && version_.era != 0) {
+      OnReturnedFromCopy(*version);
+    }
+    HandleSuccess(*version);
     is_listed_ = true;
-    callbacks_.on_listed(rows, version);
+    callbacks_.on_listed(rows, *version);
     co_return base::Millis{0};
   }
 
-  void HandleSuccess(uint64_t version) {
+  /// A response that states no era is taken to be of the current one.
+  TableVersion WithEra(TableVersion version) const {
+    version.era = version.era == 0 ? version_.era : version.era;
+    return version;
+  }
+
+  void OnReturnedFromCopy(TableVersion version) {
+    // Rows written after the copy are written again within a while, as after an
+    // outage.
+    is_catching_up_ = true;
+    base::Log(base::LogLevel::kWarning, "store_returned_from_copy",
+              {{"table", options_.table},
+               {"era", version.era},
+               {"era_before", version_.era},
+               {"version", version.number},
+               {"version_before", version_.number}});
+  }
+
+  void HandleSuccess(TableVersion version) {
     version_ = version;
     backoff_ = options_.initial_backoff;
     callbacks_.on_available(version);
@@ -168,7 +203,8 @@
       const base::Millis now = base::Clock::Now();
       base::Log(base::LogLevel::kInfo, "store_regained",
                 {{"table", options_.table},
-                 {"version", version_},
+                 {"version", version_.number},
+                 {"era", version_.era},
                  {"took_ms", (now - called_at_).count},
                  {"lost_ms", (now - lost_at_).count},
                  {"failed_calls", failed_calls_}});
@@ -181,7 +217,7 @@
       is_listed_ = false;
       cautious_until_ = base::Clock::Now() + options_.cautious_period;
       base::Log(base::LogLevel::kInfo, "store_history_gone",
-                {{"table", options_.table}, {"version", version_}});
+                {{"table", options_.table}, {"version", version_.number}});
       return {0};
     }
     callbacks_.on_unavailable(read_error);
@@ -193,7 +229,7 @@
       base::Log(base::LogLevel::kWarning, "store_lost",
                 {{"table", options_.table},
                  {"reason", kTableReadErrorNames.NameOf(read_error)},
-                 {"version", version_},
+                 {"version", version_.number},
                  {"took_ms", (lost_at_ - called_at_).count}});
     }
     const auto half = static_cast<uint64_t>(backoff_.count / 2);
@@ -206,7 +242,7 @@
   Reader* reader_;
   TableWatcherOptions options_;
   TableWatcherCallbacks callbacks_;
-  uint64_t version_ = 0;
+  TableVersion version_;
   bool is_listed_ = false;
   bool is_unavailable_ = false;
   /// True from a failed call until a call has found no further change.
--- a/src/catalog/table_watcher_test.cc
+++ b/src/catalog/table_watcher_test.cc
@@ -33,7 +33,7 @@
 
   boost::asio::awaitable<TableReadResult> ListRows(std::string, std::string) {
     ++list_count;
-    co_return RowPage{{}, false, 7};
+    co_return RowPage{{}, false, {7}};
   }
 
   boost::asio::awaitable<TableReadResult> WaitForChanges(std::string,
@@ -52,7 +52,8 @@
     }
     co_return RowPage{
         changes_.contains(call) ? std::vector<Row>(1) : std::vector<Row>(),
-        false, version};
+        false,
+        {version}};
   }
 
   size_t list_count = 0;
@@ -126,9 +127,9 @@
   void Watch(boost::asio::io_context * context, FakeReader * reader,
              const TableWatcherOptions& options) {
     TableWatcherCallbacks callbacks;
-    callbacks.on_listed = [](const std::vector<Row>&, uint64_t) {};
+    callbacks.on_listed = [](const std::vector<Row>&, TableVersion) {};
     callbacks.on_changed = callbacks.on_listed;
-    callbacks.on_available = [](uint64_t) {};
+    callbacks.on_available = [](TableVersion) {};
     callbacks.on_unavailable = [](TableReadError) {};
     callbacks.on_caught_up = [this] { ++caught_up_count_; };
     callbacks.next_wait = [] { return kWait; };
--- a/src/catalog/target_tracker_test.cc
+++ b/src/catalog/target_tracker_test.cc
@@ -41,6 +41,10 @@
   CPPUNIT_TEST(TestTargetThatLeavesAfterAnOutageIsNotKept);
   CPPUNIT_TEST(TestLeavingIsAppliedImmediatelyAfterAnOutage);
   CPPUNIT_TEST(TestTargetsConvergeToTheList);
+  CPPUNIT_TEST(TestEntriesThatACopyLacksAreKept);
+  CPPUNIT_TEST(TestProcessThatHadLeftIsNotUsedWhenACopyListsIt);
+  CPPUNIT_TEST(TestProcessThatACopyListsIsUsedOnceItReports);
+  CPPUNIT_TEST(TestLeavingProcessKeepsLeavingWhenACopyListsIt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -51,6 +55,64 @@
     EXPECT(!tracker.ActiveTargets().contains("x"));
   }
 
+  void TestEntriesThatACopyLacksAreKept() {
+    TargetTracker tracker;
+    tracker.OnListed(MakeTargets({"x", "new"}), {0});
+    tracker.OnTableServiceReturnedFromCopy({5000});
+    EXPECT(!tracker.OnListed(MakeTargets({"x"}), {5000}));
+    tracker.OnCaughtUp();
+    EXPECT(!tracker.RemoveExpired({6000}));
+    EXPECT(
+        !tracker.OnChanged({{"new", &MakeTargets({"new"}).at("new")}}, {6500}));
+    EXPECT(!tracker.RemoveExpired({20'000}));
+    EXPECT(tracker.ActiveTargets().contains("new"));
+  }
+
+  void TestProcessThatHadLeftIsNotUsedWhenACopyListsIt() {
+    TargetTracker tracker;
+    tracker.OnListed(MakeTargets({"x", "left"}), {0});
+    tracker.OnChanged({{"left", nullptr}}, {4000});
+    tracker.OnTableServiceReturnedFromCopy({5000});
+    tracker.OnListed(MakeTargets({"x", "left"}), {5000});
+    EXPECT(!tracker.ActiveTargets().contains("left"));
+    // Its entry expires, so nothing is left to add.
+    tracker.OnChanged({{"left", nullptr}}, {8600});
+    EXPECT(!tracker.AddRelisted({20'000}));
+  }
+
+  void TestProcessThatACopyListsIsUsedOnceItReports() {
+    const Targets listed = MakeTargets({"a", "b"});
+    TargetTracker tracker;
+    tracker.OnListed(listed, {0});
+    tracker.OnChanged({{"a", nullptr}, {"b", nullptr}}, {4000});
+    tracker.OnTableServiceReturnedFromCopy({5000});
+    tracker.OnListed(listed, {5000});
+    EXPECT(tracker.OnChanged({{"a", &listed.at("a")}}, {6000}));
+    EXPECT(tracker.ActiveTargets().contains("a"));
+    // An entry that outlives the time in which it would have expired is that of
+    // a running process.
+    EXPECT(!tracker.AddRelisted({9900}));
+    EXPECT(tracker.AddRelisted({10'000}));
+    EXPECT(tracker.ActiveTargets().contains("b"));
+  }
+
+  void TestLeavingProcessKeepsLeavingWhenACopyListsIt() {
+    const Targets before = MakeTargets({"x"});
+    Target leaving = before.at("x");
+    leaving.is_leaving = true;
+    TargetTracker tracker;
+    tracker.OnListed(before, {0});
+    tracker.OnChanged({{"x", &leaving}}, {4000});
+    tracker.OnTableServiceReturnedFromCopy({5000});
+    tracker.OnListed(before, {5000});
+    EXPECT(tracker.ActiveTargets().at("x").is_leaving);
+    // A later process is not bound by what the one before said.
+    Target successor = before.at("x");
+    successor.started_at = 1;
+    tracker.OnChanged({{"x", &successor}}, {6000});
+    EXPECT(!tracker.ActiveTargets().at("x").is_leaving);
+  }
+
   void TestNoTargetIsRemovedDuringAnOutage() {
     TargetTracker tracker;
     tracker.OnListed(MakeTargets({"x"}), {0});
--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -2,6 +2,7 @@
 #define DAISYPOND_GATEWAY_CATALOG_SOURCE_H_
 
 #include <algorithm>
+#include <compare>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +17,7 @@
 #include "base/metrics.h"
 #include "catalog/catalog.h"
 #include "catalog/row.h"
+#include "catalog/table_version.h"
 #include "catalog/target_tracker.h"
 
 namespace daisypond::gateway {
@@ -33,9 +35,9 @@
   std::vector<std::string> removed;
   /// Time since the targets were last known to match the table service.
   base::Millis age;
-  /// Version of the table service that the targets match. 0 if a peer of an
-  /// older build sent them.
-  uint64_t table_version = 0;
+  /// Version of the table service that the targets match. Without a number or
+  /// an era if a peer of an older build sent them.
+  catalog::TableVersion table_version;
 };
 
 /// Maintains the current catalog from rows of the table service and from the
@@ -46,8 +48,15 @@
  public:
   using OnCatalog = std::function<void(const catalog::Catalog&)>;
 
-  CatalogSource(base::Metrics* metrics, OnCatalog on_catalog)
-      : metrics_(metrics), on_catalog_(std::move(on_catalog)) {}
+  /// `on_returned_from_copy` is called when the table service is found to have
+  /// returned from a copy.
+  CatalogSource(
+      base::Metrics* metrics,
+      OnCatalog on_catalog,
+      std::function<void()> on_returned_from_copy = [] {})
+      : metrics_(metrics),
+        on_catalog_(std::move(on_catalog)),
+        on_returned_from_copy_(std::move(on_returned_from_copy)) {}
 
   void OnConfigurationRows(const std::vector<catalog::Row>& rows) {
     for (const catalog::Row& it : rows) {
@@ -86,11 +95,11 @@
 
   /// `version` is that of the table service when the rows were read.
   void OnTargetsListed(const std::vector<catalog::Row>& rows,
-                       uint64_t version) {
-    if (version < table_version_) {
+                       catalog::TableVersion version) {
+    if (CompareWithCurrent(version) < 0) {
       return;
     }
-    table_version_ = version;
+    SetTableVersion(version);
     catalog::Targets listed;
     for (const catalog::Row& it : rows) {
       if (auto target = DecodeTargetRow(it)) {
@@ -109,11 +118,11 @@
   /// Applies all changes up to `version`. A call that waited while a peer sent
   /// newer targets brings nothing new.
   void OnTargetsChanged(const std::vector<catalog::Row>& rows,
-                        uint64_t version) {
-    if (version < table_version_) {
+                        catalog::TableVersion version) {
+    if (CompareWithCurrent(version) < 0) {
       return;
     }
-    table_version_ = version;
+    SetTableVersion(version);
     std::vector<catalog::Target> decoded;
     decoded.reserve(rows.size());
     std::vector<catalog::TargetChange> changes;
@@ -150,12 +159,16 @@
 
   /// To be called when the table service has answered that there is no change
   /// up to `version`, or after the changes up to it have been applied.
-  void OnTargetTableAnswered(uint64_t version) {
+  void OnTargetTableAnswered(catalog::TableVersion version) {
     const base::Millis now = base::Clock::Now();
-    if (version >= table_version_) {
-      table_version_ = version;
+    if (!(CompareWithCurrent(version) < 0)) {
+      SetTableVersion(version);
       ConfirmTargets(now);
     }
+    const uint64_t era_before = std::exchange(read_era_, version.era);
+    if (era_before != 0 && version.era > era_before) {
+      target_tracker_.OnTableServiceReturnedFromCopy(now);
+    }
     target_tracker_.OnTableServiceAvailable(
         now, now - unconfirmed_until_ < kOutagePause);
   }
@@ -200,8 +213,9 @@
   /// newer. Without targets of its own, `peer` tells how old and of which
   /// version they are.
   void OnPeerUnchanged(const PeerCatalog& peer) {
-    if (peer.table_version >= table_version_) {
-      table_version_ = peer.table_version;
+    if (table_version_.number == 0 ||
+        CompareWithCurrent(peer.table_version) >= 0) {
+      SetTableVersion(peer.table_version);
       UpdateTargetsAge(peer.age);
     }
   }
@@ -216,13 +230,16 @@
       OnConfigurationText(peer.configuration);
     }
     const std::optional<base::Millis> age = TargetsAge();
-    const bool is_newer = peer.table_version == 0 || table_version_ == 0
-                              ? !age || peer.age < *age
-                              : peer.table_version > table_version_;
+    const bool is_newer =
+        peer.table_version.number == 0 || table_version_.number == 0
+            ? !age || peer.age < *age
+            : CompareWithCurrent(peer.table_version) > 0;
     if (!peer.targets || !is_newer) {
       return false;
     }
-    table_version_ = std::max(table_version_, peer.table_version);
+    if (peer.table_version.number != 0) {
+      SetTableVersion(peer.table_version);
+    }
     UpdateTargetsAge(peer.age);
     catalog::Targets listed = *peer.targets;
     if (peer.is_delta) {
@@ -239,8 +256,9 @@
     return true;
   }
 
-  /// Version of the table service that the targets match; 0 if unknown.
-  uint64_t TableVersion() const { return table_version_; }
+  /// Version of the table service that the targets match; without a number if
+  /// unknown.
+  catalog::TableVersion TableVersion() const { return table_version_; }
 
   /// Identifies the current set of targets: changes whenever the set changes.
   uint64_t TargetsRevision() const { return targets_revision_; }
@@ -271,8 +289,12 @@
   }
 
   /// Removes targets whose entries are still missing from the table service
-  /// after an outage and a grace period. To be called periodically.
+  /// after an outage and a grace period, and adds those that a copy has listed
+  /// again for as long as they must be running. To be called periodically.
   void DropMissingTargets() {
+    if (target_tracker_.AddRelisted(base::Clock::Now())) {
+      PublishTargets("listed_by_copy");
+    }
     if (target_tracker_.RemoveExpired(base::Clock::Now())) {
       PublishTargets("missing_after_outage");
     }
@@ -293,6 +315,28 @@
   // have lost their entries in an outage of the table service.
   static constexpr base::Millis kOutagePause{3000};
 
+  /// Orders `version` against that of the current targets. A version without an
+  /// era is taken to be of the current one, but nothing orders it once the
+  /// table service has returned from a copy: older builds do not notice that.
+  std::partial_ordering CompareWithCurrent(
+      catalog::TableVersion version) const {
+    if (version.era != 0 && table_version_.era != 0) {
+      return version <=> table_version_;
+    }
+    return has_returned_from_copy_ ? std::partial_ordering::unordered
+                                   : version.number <=> table_version_.number;
+  }
+
+  void SetTableVersion(catalog::TableVersion version) {
+    const uint64_t era_before = table_version_.era;
+    version.era = version.era == 0 ? era_before : version.era;
+    table_version_ = version;
+    if (era_before != 0 && version.era > era_before) {
+      has_returned_from_copy_ = true;
+      on_returned_from_copy_();
+    }
+  }
+
   /// Records the current revision for each target that was added, changed or
   /// removed since the last published catalog.
   void RecordChangedTargets() {
@@ -362,9 +406,10 @@
   void LogKeptTargets(size_t n_before) const {
     const size_t n = target_tracker_.MissingCount();
     if (n > n_before) {
-      base::Log(
-          base::LogLevel::kInfo, "targets_kept",
-          {{"n", n}, {"before", n_before}, {"table_version", table_version_}});
+      base::Log(base::LogLevel::kInfo, "targets_kept",
+                {{"n", n},
+                 {"before", n_before},
+                 {"table_version", table_version_.number}});
     }
   }
 
@@ -397,6 +442,7 @@
 
   base::Metrics* metrics_;
   OnCatalog on_catalog_;
+  std::function<void()> on_returned_from_copy_;
   catalog::TargetTracker target_tracker_;
   catalog::Catalog catalog_;
   std::string configuration_text_;
@@ -405,7 +451,10 @@
   // End of the latest pause between two confirmations that was longer than
   // kOutagePause.
   base::Millis unconfirmed_until_;
-  uint64_t table_version_ = 0;
+  catalog::TableVersion table_version_;
+  // Era of the last answer of the table service to this instance.
+  uint64_t read_era_ = 0;
+  bool has_returned_from_copy_ = false;
   bool is_configuration_table_unavailable_ = false;
   // Starts at a random number so that a revision that another process issued is
   // not mistaken for one that this process issued.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -50,7 +50,8 @@
                    &metrics_),
         catalog_source_(
             &metrics_,
-            [this](const catalog::Catalog& it) { PublishCatalog(it); }),
+            [this](const catalog::Catalog& it) { PublishCatalog(it); },
+            [this] { OnStoreReturnedFromCopy(); }),
         configuration_reader_(control_.get_executor(), settings.store),
         target_reader_(control_.get_executor(), settings.store),
         release_reader_(control_.get_executor(), settings.store),
@@ -254,11 +255,11 @@
 
   catalog::TableWatcherCallbacks MakeConfigurationWatcherCallbacks() {
     catalog::TableWatcherCallbacks callbacks;
-    callbacks.on_listed = [this](const auto& rows, uint64_t) {
+    callbacks.on_listed = [this](const auto& rows, catalog::TableVersion) {
       catalog_source_.OnConfigurationRows(rows);
     };
     callbacks.on_changed = callbacks.on_listed;
-    callbacks.on_available = [this](uint64_t) {
+    callbacks.on_available = [this](catalog::TableVersion) {
       metrics_.Add(base::Counter::kStoreCalls);
       catalog_source_.OnConfigurationTableAnswered();
     };
@@ -274,13 +275,15 @@
 
   catalog::TableWatcherCallbacks MakeTargetWatcherCallbacks() {
     catalog::TableWatcherCallbacks callbacks;
-    callbacks.on_listed = [this](const auto& rows, uint64_t version) {
+    callbacks.on_listed = [this](const auto& rows,
+                                 catalog::TableVersion version) {
       catalog_source_.OnTargetsListed(rows, version);
     };
-    callbacks.on_changed = [this](const auto& rows, uint64_t version) {
+    callbacks.on_changed = [this](const auto& rows,
+                                  catalog::TableVersion version) {
       catalog_source_.OnTargetsChanged(rows, version);
     };
-    callbacks.on_available = [this](uint64_t version) {
+    callbacks.on_available = [this](catalog::TableVersion version) {
       metrics_.Add(base::Counter::kStoreCalls);
       LogIfReadAlone();
       catalog_source_.OnTargetTableAnswered(version);
@@ -311,10 +314,16 @@
       const std::optional<base::Millis> age = catalog_source_.TargetsAge();
       base::Log(base::LogLevel::kInfo, "catalog_read_alone",
                 {{"age_ms", age ? age->count : -1},
-                 {"table_version", catalog_source_.TableVersion()}});
+                 {"table_version", catalog_source_.TableVersion().number}});
     }
   }
 
+  /// Records that were written after the copy are gone.
+  void OnStoreReturnedFromCopy() {
+    peer_link_->StreamRecords().OnStoreReturnedFromCopy();
+    release_records_.OnStoreReturnedFromCopy();
+  }
+
   void OnReadFailed() {
     // Instances that follow others and lose the table service together do not
     // return to it together.
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -32,7 +32,7 @@
 )";
 
 /// Test format: a configuration row holds only its version, a target row only
-/// the target's address.
+/// the target's address, and "leaving" after it if the target leaves.
 struct PlainFormat {
   static constexpr const char* kConfigurationKey = "config";
 
@@ -59,6 +59,7 @@
     catalog::Target target;
     target.id = id;
     target.address = text;
+    target.is_leaving = text.ends_with("leaving");
     return target;
   }
 };
@@ -77,6 +78,10 @@
   CPPUNIT_TEST(TestUnreadableTargetIsSkipped);
   CPPUNIT_TEST(TestPeerTargetsOfALaterTableVersionAreAdopted);
   CPPUNIT_TEST(TestTargetsAreNotReplacedByThoseOfAnEarlierTableVersion);
+  CPPUNIT_TEST(TestTargetsOfALaterEraReplaceThoseOfAHigherVersion);
+  CPPUNIT_TEST(TestTargetsOfAnEarlierEraAreNotAdopted);
+  CPPUNIT_TEST(TestPeersWithoutAnEraAreNotTrustedAfterAReturn);
+  CPPUNIT_TEST(TestOldListOfACopyDoesNotBringBackWhatHasLeft);
   CPPUNIT_TEST(TestTargetThatLeftWhileOthersWereServedDoesNotComeBack);
   CPPUNIT_TEST(TestConfigurationIsFetchedFromPeersOnlyDuringOutage);
   CPPUNIT_TEST_SUITE_END();
@@ -84,8 +89,10 @@
  public:
   void setUp() override {
     publish_count_ = 0;
-    source_.emplace(&metrics_,
-                    [this](const catalog::Catalog&) { ++publish_count_; });
+    return_count_ = 0;
+    source_.emplace(
+        &metrics_, [this](const catalog::Catalog&) { ++publish_count_; },
+        [this] { ++return_count_; });
   }
 
   void TestParseSettings() {
@@ -209,7 +216,8 @@
   }
 
   void TestUnreadableTargetIsSkipped() {
-    source_->OnTargetsListed({{"x", "10.0.0.1:1", false}, {"y", "", false}}, 1);
+    source_->OnTargetsListed({{"x", "10.0.0.1:1", false}, {"y", "", false}},
+                             {1});
     EXPECT_EQ(size_t{1}, source_->Current().targets->size());
     EXPECT_EQ(int64_t{1}, metrics_.Value(base::Counter::kTargetsUnreadable));
   }
@@ -222,8 +230,8 @@
     source_->OnConfigurationText("7");
     source_->OnConfigurationTableAnswered();
     EXPECT(!source_->NeedsConfigurationFromPeers());
-    source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, 1);
-    source_->OnTargetTableAnswered(1);
+    source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, {1});
+    source_->OnTargetTableAnswered({1});
     EXPECT(!source_->NeedsCatalogFromPeers());
     source_->OnConfigurationTableUnavailable();
     EXPECT(source_->NeedsConfigurationFromPeers());
@@ -234,8 +242,8 @@
 
   void TestPeerTargetsOfALaterTableVersionAreAdopted() {
     source_->OnConfigurationText("7");
-    source_->OnTargetTableAnswered(5);
-    source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, 5);
+    source_->OnTargetTableAnswered({5});
+    source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, {5});
     source_->OnConfigurationTableAnswered();
     PeerCatalog peer;
     peer.configuration = "8";
@@ -249,53 +257,116 @@
     // A peer that reads the table service for this instance may have read it a
     // second ago. Its targets are accepted although they are older.
     peer.age = {1000};
-    peer.table_version = 6;
+    peer.table_version = {6};
     EXPECT(source_->OnPeerCatalog(peer));
     EXPECT_EQ(size_t{0}, source_->Current().targets->size());
   }
 
   void TestTargetThatLeftWhileOthersWereServedDoesNotComeBack() {
     source_->OnConfigurationText("7");
-    source_->OnTargetTableAnswered(5);
-    source_->OnTargetsListed({}, 5);
+    source_->OnTargetTableAnswered({5});
+    source_->OnTargetsListed({}, {5});
     source_->OnTargetTableUnavailable();
     PeerCatalog peer;
     peer.targets.emplace();
     catalog::Target target;
     target.id = "y";
     peer.targets->emplace("y", target);
-    peer.table_version = 8;
+    peer.table_version = {8};
     EXPECT(source_->OnPeerCatalog(peer));
     // The table service answers again: "x" came and went since version 5, and
     // "y" has gone just now.
-    source_->OnTargetTableAnswered(9);
+    source_->OnTargetTableAnswered({9});
     source_->OnTargetsChanged(
-        {{"x", "10.0.0.1:1", false}, {"x", "", true}, {"y", "", true}}, 9);
+        {{"x", "10.0.0.1:1", false}, {"x", "", true}, {"y", "", true}}, {9});
     EXPECT_EQ(size_t{0}, source_->Current().targets->size());
   }
 
   void TestTargetsAreNotReplacedByThoseOfAnEarlierTableVersion() {
     source_->OnConfigurationText("7");
-    source_->OnTargetTableAnswered(5);
-    source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, 5);
-    source_->OnTargetTableAnswered(9);
-    source_->OnTargetsChanged({{"x", "", true}}, 9);
+    source_->OnTargetTableAnswered({5});
+    source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, {5});
+    source_->OnTargetTableAnswered({9});
+    source_->OnTargetsChanged({{"x", "", true}}, {9});
     EXPECT_EQ(size_t{0}, source_->Current().targets->size());
     // Another source confirmed an earlier state a moment ago.
     PeerCatalog peer;
     peer.targets.emplace();
     peer.targets->emplace("x", catalog::Target());
-    peer.table_version = 7;
+    peer.table_version = {7};
     EXPECT(!source_->OnPeerCatalog(peer));
     // A call that waited meanwhile returns what has been read before.
-    source_->OnTargetTableAnswered(8);
-    source_->OnTargetsChanged({{"x", "10.0.0.1:1", false}}, 8);
+    source_->OnTargetTableAnswered({8});
+    source_->OnTargetsChanged({{"x", "10.0.0.1:1", false}}, {8});
     EXPECT_EQ(size_t{0}, source_->Current().targets->size());
-    EXPECT_EQ(uint64_t{9}, source_->TableVersion());
+    EXPECT(catalog::TableVersion{9} == source_->TableVersion());
+  }
+
+  // Peers passed on old targets under the higher version of the era before.
+  void TestTargetsOfALaterEraReplaceThoseOfAHigherVersion() {
+    Read({{"x", "10.0.0.1:1", false}}, {90, 1});
+    PeerCatalog peer;
+    peer.targets.emplace();
+    peer.targets->emplace("y", catalog::Target());
+    peer.table_version = {20, 2};
+    EXPECT(source_->OnPeerCatalog(peer));
+    EXPECT(source_->Current().targets->contains("y"));
+    EXPECT((catalog::TableVersion{20, 2}) == source_->TableVersion());
+    EXPECT_EQ(1, return_count_);
+  }
+
+  void TestTargetsOfAnEarlierEraAreNotAdopted() {
+    Read({{"x", "10.0.0.1:1", false}}, {90, 1});
+    Read({{"x", "10.0.0.1:1", false}}, {20, 2});
+    EXPECT_EQ(1, return_count_);
+    PeerCatalog peer;
+    peer.targets.emplace();
+    peer.table_version = {91, 1};
+    EXPECT(!source_->OnPeerCatalog(peer));
+    source_->OnPeerUnchanged(peer);
+    source_->OnTargetsChanged({{"x", "", true}}, {92, 1});
+    EXPECT((catalog::TableVersion{20, 2}) == source_->TableVersion());
+    EXPECT_EQ(size_t{1}, source_->Current().targets->size());
+  }
+
+  // Builds that do not know eras keep the targets of the era before.
+  void TestPeersWithoutAnEraAreNotTrustedAfterAReturn() {
+    PeerCatalog peer;
+    peer.targets.emplace();
+    Read({{"x", "10.0.0.1:1", false}}, {90, 1});
+    peer.table_version = {91, 0};
+    EXPECT(source_->OnPeerCatalog(peer));
+    Read({{"x", "10.0.0.1:1", false}}, {20, 2});
+    peer.table_version = {92, 0};
+    EXPECT(!source_->OnPeerCatalog(peer));
+    EXPECT_EQ(size_t{1}, source_->Current().targets->size());
+  }
+
+  // "left" and "leaving" are in the copy as they were before they left.
+  void TestOldListOfACopyDoesNotBringBackWhatHasLeft() {
+    const std::vector<catalog::Row> before = {{"left", "10.0.0.1:1", false},
+                                              {"leaving", "10.0.0.2:1", false}};
+    Read(before, {80, 1});
+    source_->OnTargetsChanged(
+        {{"left", "", true}, {"leaving", "10.0.0.2:1 leaving", false}},
+        {90, 1});
+    Read(before, {20, 2});
+    const catalog::Targets& targets = *source_->Current().targets;
+    EXPECT_EQ(size_t{1}, targets.size());
+    EXPECT(targets.at("leaving").is_leaving);
   }
 
  private:
+  /// The table service lists `rows`.
+  void Read(const std::vector<catalog::Row>& rows,
+            catalog::TableVersion version) {
+    source_->OnConfigurationText("7");
+    source_->OnTargetTableAnswered(version);
+    source_->OnTargetsListed(rows, version);
+  }
+
   base::Metrics metrics_;
+  int return_count_ = 0;
   std::optional<CatalogSource<PlainFormat>> source_;
   int publish_count_ = 0;
 };
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -113,7 +113,7 @@
   PeerCatalog catalog;
   catalog.configuration = reply.configuration();
   catalog.age = {reply.age_ms()};
-  catalog.table_version = reply.table_version();
+  catalog.table_version = {reply.table_version(), reply.table_era()};
   catalog.is_delta = reply.is_delta();
   catalog.removed.assign(reply.removed().begin(), reply.removed().end());
   if (reply.has_targets()) {
@@ -256,10 +256,14 @@
 }
 
 bool PeerLink::HasNewerTargets(const peer::FetchCatalogRequest& request) const {
-  const uint64_t own = callbacks_.table_version();
-  const uint64_t known = request.known_table_version();
+  const catalog::TableVersion own = callbacks_.table_version();
+  const catalog::TableVersion known{request.known_table_version(),
+                                    request.known_table_era()};
+  const bool are_eras_known = own.era != 0 && known.era != 0;
+  const bool is_later =
+      are_eras_known ? own > known : own.number > known.number;
   return callbacks_.targets_revision() != request.known_targets() &&
-         (own == 0 || known == 0 || own > known);
+         (own.number == 0 || known.number == 0 || is_later);
 }
 
 bool PeerLink::HasNewerCatalog(const peer::FetchCatalogRequest& request) const {
@@ -290,7 +294,8 @@
   reply.set_configuration(catalog.configuration);
   reply.set_age_ms(catalog.age.count);
   reply.set_has_targets(catalog.targets.has_value());
-  reply.set_table_version(catalog.table_version);
+  reply.set_table_version(catalog.table_version.number);
+  reply.set_table_era(catalog.table_version.era);
   if (!HasNewerTargets(request)) {
     // Equal revisions say that there is nothing new.
     reply.set_targets_revision(request.known_targets());
@@ -357,7 +362,9 @@
   const uint64_t known_revision =
       *address == known_targets_peer_ ? known_targets_revision_ : 0;
   request.set_known_targets(known_revision);
-  request.set_known_table_version(callbacks_.table_version());
+  const catalog::TableVersion version = callbacks_.table_version();
+  request.set_known_table_version(version.number);
+  request.set_known_table_era(version.era);
   request.set_is_large_configuration_read(callbacks_.can_read_configuration());
   client_.FetchCatalog(*address, request, times_.peer_wait + kFetchSlack,
                        [this, address = *address, known_revision](
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -38,8 +38,8 @@
   std::function<PeerCatalog(const peer::FetchCatalogRequest&)>
       catalog_newer_than;
   /// Returns the version of the table service that this instance's targets
-  /// match; zero if unknown.
-  std::function<uint64_t()> table_version;
+  /// match; without a number if unknown.
+  std::function<catalog::TableVersion()> table_version;
   /// Returns a number that identifies the current set of targets. The number
   /// changes whenever the set changes.
   std::function<uint64_t()> targets_revision;
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -102,7 +102,7 @@
     callbacks.catalog_newer_than = [](const peer::FetchCatalogRequest&) {
       return PeerCatalog();
     };
-    callbacks.table_version = [] { return 1; };
+    callbacks.table_version = [] { return catalog::TableVersion{1}; };
     callbacks.can_read_configuration = [] { return true; };
     callbacks.on_configuration_version = [this](uint64_t version) {
       known_configuration = std::max(known_configuration.load(), version);
--- a/src/gateway/release_records.h
+++ b/src/gateway/release_records.h
@@ -44,6 +44,10 @@
         metrics_(metrics),
         callbacks_(std::move(callbacks)) {}
 
+  /// To be called when the table service has returned from a copy, which may
+  /// lack records. This instance's records are then written again.
+  void OnStoreReturnedFromCopy() { recorded_.clear(); }
+
   /// Runs until the io_context stops.
   boost::asio::awaitable<void> Run() {
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
--- a/src/gateway/shared_stream_records.cc
+++ b/src/gateway/shared_stream_records.cc
@@ -222,6 +222,11 @@
   StoreRecordsOfNewReleases();
 }
 
+void SharedStreamRecords::OnStoreReturnedFromCopy() {
+  stored_services_.clear();
+  StoreRecordsOfNewReleases();
+}
+
 void SharedStreamRecords::OnReleasesRead(
     const forward::ServiceVersions& recorded) {
   history_.OnRecordsRead(recorded, base::Clock::Now());
--- a/src/gateway/shared_stream_records.h
+++ b/src/gateway/shared_stream_records.h
@@ -66,6 +66,10 @@
   /// To be called with the versions that earlier instances have recorded.
   void OnReleasesRead(const forward::ServiceVersions& recorded);
 
+  /// To be called when the table service has returned from a copy, which may
+  /// lack records. This instance's recent ones are then stored again.
+  void OnStoreReturnedFromCopy();
+
   /// Returns the recent versions of the services whose versions this instance
   /// is to record.
   forward::ServiceVersions VersionsToRecord() const;
