Send nothing to a process that has stated that it is leaving

While the table service was down, a target left and said so in all its answers.

Cause: nothing read Server-Leaving, so only the table service and peers could say that a target leaves.

It gets no request, no copy of a run and no tunnel from then on; lists that say otherwise or lack it for a while change nothing, a later process under the same id starts anew.

--- a/src/forward/engine_poll.h
+++ b/src/forward/engine_poll.h
@@ -62,7 +62,7 @@
         co_await CallTarget(poll_forwarder, std::move(call), poll_deadline);
     if (answer) {
       poll_forwarder->OnResponse(
-          engine.id,
+          {engine.id, engine.started_at},
           DialectType::ParseResponseHeader(answer->status, answer->fields));
     }
     const std::optional<EngineReport> report =
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -985,7 +985,7 @@
     const Millis now = Clock::Now();
     has_answer_header_ = true;
     forwarder_->selector.OnBytesReceived(placement.id, now);
-    forwarder_->OnResponse(placement.id, metadata);
+    forwarder_->OnResponse({placement.id, placement.started_at}, metadata);
     if (metadata.load) {
       forwarder_->selector.OnLoadReport(placement.id, *metadata.load, now);
     }
@@ -1050,8 +1050,9 @@
         co_await CallTarget(forwarder_, std::move(call), now + kProbeTimeout);
     const bool is_alive = answer.has_value();
     if (answer) {
-      forwarder_->OnResponse(placement.id, DialectType::ParseResponseHeader(
-                                               answer->status, answer->fields));
+      forwarder_->OnResponse(
+          {placement.id, placement.started_at},
+          DialectType::ParseResponseHeader(answer->status, answer->fields));
     }
     LogProbe(placement, is_alive, Clock::Now() - now);
     co_return is_alive;
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -343,6 +343,7 @@
   CPPUNIT_TEST(TestSecondLossUnderARequestIsReportedToAllPeers);
   CPPUNIT_TEST(TestRequestLimitHoldsForAllInstancesTogether);
   CPPUNIT_TEST(TestRequestBeyondAllLimitsIsRefusedAtOnce);
+  CPPUNIT_TEST(TestTargetThatStatesThatItLeavesGetsNoRequests);
   CPPUNIT_TEST(TestLiftedLimitHoldsNoLonger);
   CPPUNIT_TEST(TestInstancesShareTheSlotsOfABrittleTarget);
   CPPUNIT_TEST(TestRequestWithoutSlotIsRefusedAtOnce);
@@ -1106,6 +1107,25 @@
     EXPECT_EQ(size_t{1}, target.Requests().size());
   }
 
+  // A target that left while the table service was down got requests until it
+  // exited.
+  void TestTargetThatStatesThatItLeavesGetsNoRequests() {
+    std::atomic<int> n_leaving = 0;
+    AddTarget([&](LoopbackConnection& connection, const std::string& header) {
+      ++n_leaving;
+      return connection.Send(MakeAnswer(200, HeaderField(header, "Request-Id"),
+                                        "", "Seal: s\r\nLeaving: 1\r\n"));
+    });
+    AddTarget([](LoopbackConnection& connection, const std::string& header) {
+      return connection.Send(
+          MakeAnswer(200, HeaderField(header, "Request-Id"), ""));
+    });
+    for (int i = 0; i < 40; ++i) {
+      EXPECT_EQ(std::string("200"), RequestStatus("POST", "/once/a"));
+    }
+    EXPECT_EQ(1, n_leaving.load());
+  }
+
   void TestLiftedLimitHoldsNoLonger() {
     std::atomic<bool> is_limited = true;
     AddTarget([&](LoopbackConnection& connection, const std::string& header) {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -129,10 +129,25 @@
   }
 }
 
-void Forwarder::OnResponse(const std::string& target,
+void Forwarder::OnResponse(const TargetProcess& target,
                            const ResponseMetadata& metadata) {
-  OnRequestLimit(target, metadata);
-  OnRejectionLimit(target, metadata);
+  OnLeaving(target, metadata);
+  OnRequestLimit(target.id, metadata);
+  OnRejectionLimit(target.id, metadata);
+}
+
+void Forwarder::OnLeaving(const TargetProcess& target,
+                          const ResponseMetadata& metadata) {
+  if (metadata.is_leaving && !metadata.is_wrong_target &&
+      selector.OnLeaving(target)) {
+    const auto listed = catalog.targets->find(target.id);
+    base::Log(base::LogLevel::kInfo, "target_leaving",
+              {{"target", target.id},
+               {"started_at", target.started_at},
+               {"listed", listed != catalog.targets->end()},
+               {"listed_as_leaving", listed != catalog.targets->end() &&
+                                         listed->second.is_leaving}});
+  }
 }
 
 void Forwarder::OnRequestLimit(const std::string& target,
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -85,9 +85,10 @@
   /// targets.
   void OnSuspectedByPeer(const std::vector<Suspect>& suspects);
 
-  /// Records the limits that a response of the target states, or that it states
-  /// none.
-  void OnResponse(const std::string& target, const ResponseMetadata& metadata);
+  /// Records what a response of the target states of the target: its limits, or
+  /// that it has none, and that it is leaving.
+  void OnResponse(const TargetProcess& target,
+                  const ResponseMetadata& metadata);
 
   /// False when the catalog is incomplete or the process is stopping.
   bool IsReady() const { return catalog.IsComplete() && !is_stopping; }
@@ -169,6 +170,7 @@
   size_t held_bytes = 0;
 
  private:
+  void OnLeaving(const TargetProcess& target, const ResponseMetadata& metadata);
   void OnRequestLimit(const std::string& target,
                       const ResponseMetadata& metadata);
   void OnRejectionLimit(const std::string& target,
--- a/src/forward/message.h
+++ b/src/forward/message.h
@@ -127,6 +127,8 @@
   /// The response states a rejection limit that cannot be read. The previous
   /// one holds.
   bool has_unreadable_rejection_limit = false;
+  /// The target's process is leaving: it accepts no new requests.
+  bool is_leaving = false;
   /// How long the target keeps an idle connection open; empty when not stated.
   std::optional<base::Millis> keep_alive;
 };
--- a/src/forward/target_selector.cc
+++ b/src/forward/target_selector.cc
@@ -117,7 +117,13 @@
     TargetState& state = states_[it.first];
     state.is_replaced = state.is_replaced && state.target == it.second;
     state.target = it.second;
+    state.has_stated_leaving =
+        leaving_.contains({it.first, it.second.started_at});
   }
+  std::erase_if(leaving_, [&](const TargetProcess& it) {
+    // Another process without a stated start may follow under the same id.
+    return it.started_at == 0 && !targets.contains(it.id);
+  });
   MarkSuperseded();
 }
 
@@ -162,7 +168,7 @@
 
 bool TargetSelector::IsEligible(const TargetState& state,
                                 const PlacementRequest& request) const {
-  return state.target.service == request.service && !state.target.is_leaving &&
+  return state.target.service == request.service && !IsLeaving(state) &&
          !state.is_replaced && !state.is_superseded &&
          !request.excluded.contains(state.target.id) &&
          (!request.version || *request.version == state.target.version) &&
@@ -286,9 +292,9 @@
 std::optional<Placement> TargetSelector::Find(const std::string& id,
                                               Millis now) const {
   const auto it = states_.find(id);
-  if (it == states_.end() || it->second.target.is_leaving ||
-      it->second.is_replaced || it->second.is_superseded ||
-      now < it->second.avoided_until || now < it->second.no_permit_until) {
+  if (it == states_.end() || IsLeaving(it->second) || it->second.is_replaced ||
+      it->second.is_superseded || now < it->second.avoided_until ||
+      now < it->second.no_permit_until) {
     return std::nullopt;
   }
   return MakePlacement(it->second, 0, now);
@@ -445,6 +451,24 @@
   }
 }
 
+bool TargetSelector::OnLeaving(const TargetProcess& process) {
+  if (leaving_.size() >= kMaximumLeaving) {
+    std::erase_if(leaving_, [&](const TargetProcess& it) {
+      return !states_.contains(it.id);
+    });
+  }
+  TargetState* state = StateOf(process.id);
+  if (state != nullptr && state->target.started_at == process.started_at) {
+    state->has_stated_leaving = true;
+  }
+  return leaving_.insert(process).second;
+}
+
+bool TargetSelector::IsLeaving(const std::string& id) const {
+  const auto it = states_.find(id);
+  return it != states_.end() && IsLeaving(it->second);
+}
+
 void TargetSelector::OnFull(const std::string& id, Millis now) {
   if (TargetState* state = StateOf(id)) {
     state->last_heard_at = now;
--- a/src/forward/target_selector.h
+++ b/src/forward/target_selector.h
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "catalog/catalog.h"
 #include "forward/message.h"
+#include "forward/target_loss.h"
 
 namespace daisypond::forward {
 
@@ -41,6 +42,8 @@
   /// An answer from the target's address showed that another process now uses
   /// the address.
   bool is_replaced = false;
+  /// The process has stated in an answer that it is leaving.
+  bool has_stated_leaving = false;
   /// The catalog lists another target, started later, at the same address.
   bool is_superseded = false;
   /// When the target last failed, was unreachable or was silent too long.
@@ -186,6 +189,15 @@
   /// Another process uses the target's address. The target receives no requests
   /// until its catalog entry changes.
   void OnReplaced(const std::string& id);
+  /// The process stated in an answer that it is leaving. It receives no further
+  /// requests, also if the catalog doesn't say so or no longer does. Returns
+  /// true if that is news.
+  bool OnLeaving(const TargetProcess& process);
+
+  /// True if the target is known to be leaving, from the catalog or its own
+  /// answers.
+  bool IsLeaving(const std::string& id) const;
+
   /// The target refused a request because it had no free slot.
   void OnFull(const std::string& id, base::Millis now);
 
@@ -255,6 +267,13 @@
     base::Millis brittle_since;
   };
 
+  // Processes that are remembered as leaving beyond their catalog entries.
+  static constexpr size_t kMaximumLeaving = 1000;
+
+  static bool IsLeaving(const TargetState& state) {
+    return state.target.is_leaving || state.has_stated_leaving;
+  }
+
   TargetState* StateOf(const std::string& id);
   /// Marks targets whose address belongs to a target that started later. The
   /// catalog entry of a crashed target remains for seconds, while its successor
@@ -277,6 +296,9 @@
 
   uint64_t random_;
   std::map<std::string, TargetState> states_;
+  /// Processes that have stated that they are leaving. Outlives the states: a
+  /// target may be missing in the catalog for a while.
+  std::set<TargetProcess> leaving_;
   /// By name. Outlives the targets, which may all be replaced.
   std::map<std::string, ServiceState> services_;
 };
--- a/src/forward/target_selector_test.cc
+++ b/src/forward/target_selector_test.cc
@@ -145,6 +145,8 @@
   CPPUNIT_TEST(TestPollingKeepsFirstEventsWithinObjective);
   CPPUNIT_TEST(TestEngineWithFullKvCacheIsAvoided);
   CPPUNIT_TEST(TestReportFromAnotherProcessMarksTargetReplaced);
+  CPPUNIT_TEST(TestProcessThatStatesThatItLeavesGetsNoRequests);
+  CPPUNIT_TEST(TestSuccessorOfAProcessThatLeftIsChosen);
   CPPUNIT_TEST(TestOnlyTargetsOfTheVersionAreChosen);
   CPPUNIT_TEST(TestNewRunsAvoidAVersionOfFewTargets);
   CPPUNIT_TEST(TestRestartWithAnotherVersionIsAnotherProcess);
@@ -167,6 +169,49 @@
     EXPECT_EQ(std::string("e1"), selector.Choose(EngineRequest(1), kNow)->id);
   }
 
+  void TestProcessThatStatesThatItLeavesGetsNoRequests() {
+    catalog::Targets targets = MakeEngines(2, 1);
+    for (auto& it : targets) {
+      it.second.started_at = 7;
+    }
+    TargetSelector selector(1);
+    selector.Configure(targets);
+    EXPECT(selector.OnLeaving({"e0", 7}));
+    EXPECT(!selector.OnLeaving({"e0", 7}));
+    const auto expect_unused = [&] {
+      EXPECT(selector.IsLeaving("e0"));
+      EXPECT(!selector.Find("e0", kNow));
+      for (uint64_t key = 0; key < 50; ++key) {
+        EXPECT_EQ(std::string("e1"),
+                  selector.Choose(EngineRequest(key), kNow)->id);
+      }
+    };
+    expect_unused();
+    // The catalog does not know, or loses the target for a while.
+    selector.Configure(targets);
+    expect_unused();
+    const auto entry = targets.extract("e0");
+    selector.Configure(targets);
+    targets.emplace(entry.key(), entry.mapped());
+    selector.Configure(targets);
+    expect_unused();
+  }
+
+  void TestSuccessorOfAProcessThatLeftIsChosen() {
+    catalog::Targets targets = MakeEngines(1, 1);
+    targets.at("e0").started_at = 7;
+    TargetSelector selector(1);
+    selector.Configure(targets);
+    // An answer of the process before.
+    selector.OnLeaving({"e0", 6});
+    EXPECT(selector.Choose(EngineRequest(1), kNow).has_value());
+    selector.OnLeaving({"e0", 7});
+    EXPECT(!selector.Choose(EngineRequest(1), kNow));
+    targets.at("e0").started_at = 8;
+    selector.Configure(targets);
+    EXPECT(selector.Choose(EngineRequest(1), kNow).has_value());
+  }
+
   void TestOnlyTargetsOfTheVersionAreChosen() {
     TargetSelector selector(1);
     catalog::Targets targets = MakeEngines(6, 3);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -420,7 +420,7 @@
   /// Returns the address of the target to which a peer requests a tunnel.
   tl::expected<std::string, tunnel::Status> FindTunnelTarget(
       const tunnel::ConnectRequest& request) const {
-    if (is_path_lost_) {
+    if (is_path_lost_ || forwarder_.selector.IsLeaving(request.target)) {
       return tl::unexpected(tunnel::Status::kRefused);
     }
     return FindTargetAddress(forwarder_.catalog, request);
--- a/tests/plain_dialect.h
+++ b/tests/plain_dialect.h
@@ -95,6 +95,7 @@
         from.find("Not-Run") != from.end() || metadata.is_wrong_target;
     metadata.is_event_stream =
         Text(from, "Content-Type") == "text/event-stream";
+    metadata.is_leaving = Text(from, "Leaving") == "1";
     const std::string limit = Text(from, "Limit");
     if (!limit.empty()) {
       metadata.request_limit = std::atof(limit.c_str());
