Let streams go on that began before a release and have no record

Cause: records of streams are in memory, and in the table service only while a service has several versions. Streams begun before the release had none after the loss, and once two versions were listed nothing told which one had begun them.

Change: an instance that sees a version join a single one names the earlier one as the origin of streams without a record, as those begun later have records.

--- a/src/forward/stream_record.h
+++ b/src/forward/stream_record.h
@@ -27,10 +27,16 @@
   /// An instance has seen no other version of the service for as long as a
   /// stream can last.
   kOnlyVersion,
+  /// The stream was begun before another version than this one was listed.
+  kEarlierVersion,
 };
 
-inline constexpr base::NameTable<VersionSource, 4>
-    kVersionSourceNames("unknown", "record", "stored_record", "only_version");
+inline constexpr base::NameTable<VersionSource, 5> kVersionSourceNames(
+    "unknown",
+    "record",
+    "stored_record",
+    "only_version",
+    "earlier_version");
 
 /// The answer to the question which version began a stream.
 struct StreamOrigin {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -164,9 +164,8 @@
         {[this](const std::string& id, const forward::StreamRecord& record) {
            stream_record_store_.Add(id, record);
          },
-         [this](
-             const std::string& id,
-             std::function<void(std::optional<forward::StreamRecord>)> done) {
+         [this](const std::string& id,
+                std::function<void(StoredRecordResult)> done) {
            stream_record_store_.Find(id, std::move(done));
          }});
     asio::co_spawn(traffic_, AcceptConnections(), asio::detached);
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -185,6 +185,13 @@
         [this, id, record] { link_->StreamRecords().Record(id, record); });
   }
 
+  /// Gives the member a table service that has no records of streams.
+  void StoreRecordsNowhere() {
+    link_->StreamRecords().SetStorage(
+        {[](const std::string&, const forward::StreamRecord&) {},
+         [](const std::string&, auto done) { done(std::nullopt); }});
+  }
+
   void SetTargets(const catalog::Targets& targets) {
     loop_.Post([this, targets] { link_->StreamRecords().OnTargets(targets); });
   }
@@ -240,6 +247,7 @@
   CPPUNIT_TEST(TestAllMembersLearnOfANewerConfiguration);
   CPPUNIT_TEST(TestStreamRecordOutlivesTheInstanceThatServedIt);
   CPPUNIT_TEST(TestOnlyVersionOfAServiceIsTheOriginOfItsStreams);
+  CPPUNIT_TEST(TestStreamsBegunBeforeAReleaseGoOn);
   CPPUNIT_TEST(TestMembersShareTheLimitOfATarget);
   CPPUNIT_TEST(TestMembersShareTheSlotsOfATarget);
   CPPUNIT_TEST(TestPermitHolderIsAliveAndDiffersByTarget);
@@ -421,6 +429,44 @@
     EXPECT(b.FindStream("s1").source == forward::VersionSource::kUnknown);
   }
 
+  // After the loss of all instances and a release, streams without a record
+  // were refused although only the older version can have begun them.
+  void TestStreamsBegunBeforeAReleaseGoOn() {
+    constexpr base::Millis kTimeout{5000};
+    const std::string address = FreeAddress();
+    Member a("a", address, {});
+    auto b = std::make_unique<Member>("b", FreeAddress(), std::vector{address});
+    catalog::Targets targets;
+    for (const char* it : {"v1", "v2"}) {
+      targets[it].id = it;
+      targets[it].service = "llm";
+      targets[it].version = it;
+    }
+    const catalog::Targets before = {{"v1", targets["v1"]}};
+    for (Member* it : {&a, b.get()}) {
+      it->StoreRecordsNowhere();
+      it->Start();
+      it->SetRecordedVersions({{"llm", {"v1"}}});
+      it->SetTargets(before);
+    }
+    EXPECT(BecomesTrue(
+        [&] { return a.member_count == 2 && b->member_count == 2; }, kTimeout));
+    b->SetTargets(targets);
+    b->RecordStream("since", {"llm", "v2"});
+    a.SetTargets(targets);
+    for (Member* it : {&a, b.get()}) {
+      const forward::StreamOrigin origin = it->FindStream("before");
+      EXPECT(origin.source != forward::VersionSource::kUnknown);
+      EXPECT_EQ(std::string("v1"), origin.record.version);
+      EXPECT(BecomesTrue(
+          [&] { return it->FindStream("since").record.version == "v2"; },
+          kTimeout));
+    }
+    // The lost member may have begun streams at the newer version.
+    b.reset();
+    EXPECT(a.FindStream("before").source == forward::VersionSource::kUnknown);
+  }
+
   void TestMembersShareTheLimitOfATarget() {
     constexpr base::Millis kTimeout{5000};
     constexpr base::Millis kDuration{3000};
--- a/src/gateway/shared_stream_records.cc
+++ b/src/gateway/shared_stream_records.cc
@@ -42,6 +42,12 @@
   /// True when an instance knows that there has been a single version.
   bool is_only_version_known = false;
   bool has_several_versions = false;
+  /// The versions that instances name as that of all streams without a record.
+  std::set<std::string> earlier_versions;
+  /// True when an instance can't name one.
+  bool is_earlier_version_unknown = false;
+  /// True when the table service has answered that it has no record.
+  bool is_unknown_to_storage = false;
 
   void Add(const peer::FindStreamReply& reply) {
     const auto count = static_cast<forward::VersionCount>(reply.versions());
@@ -50,6 +56,32 @@
     if (reply.has_version()) {
       versions.insert(reply.version());
     }
+    if (reply.has_earlier_version()) {
+      earlier_versions.insert(reply.earlier_version());
+    } else if (count == forward::VersionCount::kOne && reply.has_version()) {
+      earlier_versions.insert(reply.version());
+    } else {
+      is_earlier_version_unknown = true;
+    }
+  }
+
+  /// Returns the version that began a stream of which nobody has a record.
+  forward::StreamOrigin OriginWithoutRecord(const std::string& service) const {
+    const forward::StreamOrigin only = OnlyVersion(service);
+    return only.source == forward::VersionSource::kUnknown
+               ? EarlierVersion(service)
+               : only;
+  }
+
+  /// Returns the version that all instances name as that of all streams without
+  /// a record. An instance that does not answer may have one.
+  forward::StreamOrigin EarlierVersion(const std::string& service) const {
+    if (earlier_versions.size() != 1 || is_earlier_version_unknown ||
+        n_answered != n_asked || !is_unknown_to_storage) {
+      return {};
+    }
+    return {forward::VersionSource::kEarlierVersion,
+            {service, *earlier_versions.begin()}};
   }
 
   /// Returns the only version of the service, if an instance knows that it is
@@ -179,18 +211,19 @@
   if (storage_.find && history_.Count(service, base::Clock::Now()) !=
                            forward::VersionCount::kOne) {
     ++search->n_pending;
-    storage_.find(id, [search, service, finish](
-                          const std::optional<forward::StreamRecord>& record) {
-      --search->n_pending;
-      if (record) {
-        finish({forward::VersionSource::kStoredRecord, *record});
-      } else if (search->n_pending == 0) {
-        finish(search->OnlyVersion(service));
-      }
-    });
+    storage_.find(id,
+                  [search, service, finish](const StoredRecordResult& result) {
+                    --search->n_pending;
+                    search->is_unknown_to_storage = result && !*result;
+                    if (result && *result) {
+                      finish({forward::VersionSource::kStoredRecord, **result});
+                    } else if (search->n_pending == 0) {
+                      finish(search->OriginWithoutRecord(service));
+                    }
+                  });
   }
   if (search->n_pending == 0) {
-    finish(search->OnlyVersion(service));
+    finish(search->OriginWithoutRecord(service));
     return;
   }
   const auto on_reply = [search, service, finish](
@@ -205,7 +238,7 @@
       search->Add(*reply);
     }
     if (search->n_pending == 0) {
-      finish(search->OnlyVersion(service));
+      finish(search->OriginWithoutRecord(service));
     }
   };
   for (const std::string& it : addresses) {
@@ -272,6 +305,11 @@
   }
   const forward::VersionCount count = history_.Count(request.service(), now);
   reply.set_versions(static_cast<uint32_t>(count));
+  const auto earlier = history_.EarlierVersion(
+      request.service(), now, membership_->Table().LastDisturbedAt());
+  if (earlier) {
+    reply.set_earlier_version(*earlier);
+  }
   const auto version = history_.LatestVersion(request.service());
   if (version) {
     reply.set_version(*version);
--- a/src/gateway/shared_stream_records.h
+++ b/src/gateway/shared_stream_records.h
@@ -8,7 +8,10 @@
 #include <string>
 #include <utility>
 
+#include <tl/expected.hpp>
+
 #include "base/clock.h"
+#include "catalog/row.h"
 #include "forward/stream_record.h"
 #include "forward/stream_record_table.h"
 #include "forward/version_history.h"
@@ -17,13 +20,16 @@
 
 namespace daisypond::gateway {
 
+/// The record that was found in the table service, if there is one.
+using StoredRecordResult =
+    tl::expected<std::optional<forward::StreamRecord>, catalog::TableReadError>;
+
 /// Stores and finds records of streams in the table service.
 struct StreamRecordStorage {
   std::function<void(const std::string& id, const forward::StreamRecord&)> add;
-  /// `done` is called once, with nothing if no record was found.
-  std::function<void(
-      const std::string& id,
-      std::function<void(std::optional<forward::StreamRecord>)> done)>
+  /// `done` is called once.
+  std::function<void(const std::string& id,
+                     std::function<void(StoredRecordResult)> done)>
       find;
 };
 
@@ -33,7 +39,8 @@
 /// stream and by a few peers. While a service has several versions, its records
 /// are also stored in the table service, where they outlive all instances.
 /// Without a record the version is known only if the service has had a single
-/// one for long enough. Runs on the control thread.
+/// one for long enough, or had a single one until another one joined and no
+/// record of a stream begun since can be missing. Runs on the control thread.
 class SharedStreamRecords {
  public:
   using OriginCallback = std::function<void(forward::StreamOrigin)>;
--- a/src/gateway/stream_record_queue_test.cc
+++ b/src/gateway/stream_record_queue_test.cc
@@ -46,6 +46,8 @@
   StreamRecordQueue queue;
   std::map<std::string, StreamRecord> remembered;
   bool is_storing = false;
+  /// When records were last lost with another instance.
+  Millis lost_at{INT64_MIN / 2};
 
   bool HasSeveral(Millis now) const {
     const auto recent = history.RecentVersions(now);
@@ -93,7 +95,7 @@
     }
     return history.Count("s", now) == VersionCount::kOne
                ? history.LatestVersion("s")
-               : std::nullopt;
+               : history.EarlierVersion("s", now, lost_at);
   }
 };
 
@@ -226,8 +228,11 @@
         instance->history.OnRecordsRead(tables.versions, now);
         CheckReturns(*instance, tables, streams, listed, now, n_returns,
                      n_known);
-        streams.clear();
         continue;
+      } else if (it >= 97) {
+        // Callers return while releases go on.
+        CheckReturns(*instance, tables, streams, listed, now, n_returns,
+                     n_known);
       } else if (it < 60) {
         const std::string id = std::to_string(now.count);
         const std::string version =
--- a/src/gateway/stream_record_store.h
+++ b/src/gateway/stream_record_store.h
@@ -17,6 +17,7 @@
 #include "base/metrics.h"
 #include "catalog/row.h"
 #include "forward/stream_record.h"
+#include "gateway/shared_stream_records.h"
 #include "gateway/stream_record_queue.h"
 #include "net/timed_socket.h"
 
@@ -34,8 +35,7 @@
   /// How often rows that instances left behind are looked for.
   static constexpr base::Millis kCleanupPeriod{60'000};
 
-  using LookupCallback =
-      std::function<void(std::optional<forward::StreamRecord>)>;
+  using LookupCallback = std::function<void(StoredRecordResult)>;
 
   /// `is_cleaner` returns whether this instance is to remove rows that other
   /// instances have left behind.
@@ -54,8 +54,7 @@
     queue_.Add(id, record);
   }
 
-  /// Reads the record of the attempt `id`. `done` is called once, with nothing
-  /// if there is no record or the table service does not answer.
+  /// Reads the record of the attempt `id`. `done` is called once.
   void Find(const std::string& id, LookupCallback done) {
     lookups_.emplace_back(id, std::move(done));
     if (!std::exchange(is_reading_, true)) {
@@ -146,8 +145,7 @@
     is_reading_ = false;
   }
 
-  boost::asio::awaitable<std::optional<forward::StreamRecord>> Read(
-      std::string id) {
+  boost::asio::awaitable<StoredRecordResult> Read(std::string id) {
     metrics_->Add(base::Counter::kStoreCalls);
     const catalog::TableReadResult page = co_await reader_->ReadRow(table_, id);
     if (!page) {
@@ -155,7 +153,7 @@
           base::LogLevel::kWarning, "stream_record_unreadable",
           {{"resumes", id},
            {"error", catalog::kTableReadErrorNames.NameOf(page.error())}});
-      co_return std::nullopt;
+      co_return tl::unexpected(page.error());
     }
     for (const catalog::Row& it : page->rows) {
       const auto stored = DecodeStreamRecord(it);
--- a/src/membership/peer_table.cc
+++ b/src/membership/peer_table.cc
@@ -70,6 +70,7 @@
     MergeTunnelState(known, &entry.state);
     entry.state.configuration_version = version;
     entry.changed_at = now;
+    last_disturbed_at_ = now;
     is_changed = true;
   } else if (update.incarnation == entry.state.incarnation &&
              update.configuration_version > entry.state.configuration_version) {
@@ -147,6 +148,7 @@
         age >= options_.suspicion_timeout) {
       entry.state.status = PeerStatus::kDead;
       entry.changed_at = now;
+      last_disturbed_at_ = now;
       entry.times_sent = 0;
     }
     const bool is_expired = entry.state.status == PeerStatus::kDead &&
