Check that the process runs on before an unframed answer counts as whole

Reproduced with engines as processes of their own: when an engine was killed, its streams without framing were passed on as complete.

Cause: an answer without framing ends with its connection, and the system closes the connections of a killed process in order.

--- a/src/forward/cut_path_test.cc
+++ b/src/forward/cut_path_test.cc
@@ -290,6 +290,8 @@
   CPPUNIT_TEST(TestTargetThatThePeerCannotReachIsReported);
   CPPUNIT_TEST(TestStreamGoesOnWhenThePeerThatRelaysItEnds);
   CPPUNIT_TEST(TestCallIsNotCompleteWhenThePeerThatRelaysItEnds);
+  CPPUNIT_TEST(TestStreamGoesOnWhenTheProcessOfItsTargetEnds);
+  CPPUNIT_TEST(TestCallIsNotCompleteWhenTheProcessOfItsTargetEnds);
   CPPUNIT_TEST(TestUnframedAnswersEndWithTheTarget);
   CPPUNIT_TEST(TestUnframedAnswerThroughAnOlderPeerIsNotComplete);
   CPPUNIT_TEST_SUITE_END();
@@ -449,10 +451,40 @@
     EXPECT(answer.starts_with("HTTP/1.1 502 "));
   }
 
+  // The system closes the connections of a process that was killed in order.
+  void TestStreamGoesOnWhenTheProcessOfItsTargetEnds() {
+    ApplyTargetAddresses();
+    HoldUnframedAnswers();
+    std::string answer;
+    std::thread caller([&] {
+      answer = instance_->Request("GET", "/stream/a", "\r\n0\r\n\r\n");
+    });
+    EndTargetOfHeldAnswer();
+    caller.join();
+    EXPECT(answer.ends_with("\r\n0\r\n\r\n"));
+    for (const char* it : {"id: 1\n", "id: 2\n", "id: 3\n"}) {
+      EXPECT(answer.find(it) != std::string::npos);
+      EXPECT_EQ(answer.find(it), answer.rfind(it));
+    }
+  }
+
+  void TestCallIsNotCompleteWhenTheProcessOfItsTargetEnds() {
+    ApplyTargetAddresses();
+    HoldUnframedAnswers();
+    std::string answer;
+    std::thread caller(
+        [&] { answer = instance_->Request("POST", "/once/a", "\r\n\r\n"); });
+    EndTargetOfHeldAnswer();
+    caller.join();
+    EXPECT(answer.starts_with("HTTP/1.1 502 "));
+  }
+
   void TestUnframedAnswersEndWithTheTarget() {
+    is_framed_ = false;
+    ApplyTargetAddresses();
+    ExpectAllServed();
     const RefusingAddress refusing;
     ApplyAddress(refusing.Address());
-    is_framed_ = false;
     ExpectAllServed();
   }
 
@@ -487,12 +519,29 @@
   /// Ends the peer when it has relayed the first part of an answer, then starts
   /// another one.
   void EndPeerOfHeldAnswer() {
+    WaitForHeldAnswer();
+    peer_.reset();
+    StartPeer([this](size_t i) { return targets_[i]->Address(); });
+  }
+
+  /// Ends the process of the target that has sent the first part of an answer.
+  void EndTargetOfHeldAnswer() {
+    WaitForHeldAnswer();
+    for (auto& it : targets_) {
+      for (const std::string& header : it->Requests()) {
+        if (!header.starts_with("GET /alive")) {
+          it.reset();
+          return;
+        }
+      }
+    }
+  }
+
+  void WaitForHeldAnswer() const {
     for (int i = 0; i < 300 && n_held_ == 0; ++i) {
       std::this_thread::sleep_for(Millis{10}.ToChrono());
     }
     std::this_thread::sleep_for(Millis{100}.ToChrono());
-    peer_.reset();
-    StartPeer([this](size_t i) { return targets_[i]->Address(); });
   }
 
   void WaitForReports() const {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -19,6 +19,7 @@
 #include "forward/find_stream_origin.h"
 #include "forward/forwarder.h"
 #include "forward/http_text.h"
+#include "forward/process_check.h"
 #include "forward/response_reader.h"
 #include "forward/run_copy.h"
 #include "forward/send_tracker.h"
@@ -1115,6 +1116,15 @@
     co_return co_await RelayBufferedAnswer(placement, connection, reader);
   }
 
+  /// True if the end of an answer without framing, with which the target has
+  /// closed its connection, was not caused by the end of the target's process.
+  net::asio::awaitable<bool> IsEndOfAnswer(
+      std::shared_ptr<TargetConnection> connection) {
+    const ProcessState state =
+        co_await CheckProcess(forwarder_, connection, deadline_);
+    co_return state != ProcessState::kEnded;
+  }
+
   void ReuseOrClose(const std::shared_ptr<TargetConnection>& connection,
                     const ResponseReader& reader,
                     bool is_body_complete) {
@@ -1171,6 +1181,13 @@
                                : base::Reason::kAnswerWithoutEnd,
                            std::nullopt};
     }
+    if (!reader->HasDelimitedBody()) {
+      const bool is_whole = co_await IsEndOfAnswer(connection);
+      if (!is_whole) {
+        co_return SendResult{SendOutcome::kUnknown, base::Reason::kAnswerTorn,
+                             std::nullopt};
+      }
+    }
     const unsigned code = reader->Status();
     bhttp::fields fields = reader->Fields();
     RemoveConnectionFields(&fields);
@@ -1305,6 +1322,13 @@
       co_return SendResult{SendOutcome::kUnknown, base::Reason::kAnswerTorn,
                            std::nullopt};
     }
+    if (!reader->HasDelimitedBody()) {
+      const bool is_whole = co_await IsEndOfAnswer(connection);
+      if (!is_whole) {
+        co_return SendResult{SendOutcome::kUnknown, base::Reason::kAnswerTorn,
+                             std::nullopt};
+      }
+    }
     ReuseOrClose(connection, *reader, true);
     active_connection_.reset();
     forwarder_->selector.OnSuccess(placement.id, Clock::Now());
