--- a/src/forward/process_check.cc
+++ b/src/forward/process_check.cc
@@ -49,6 +49,7 @@
   if (closed->Route() == ConnectionRoute::kDirect) {
     state = co_await CheckDirectly(connection, deadline);
   } else {
+    // A peer does not tell a refusal from silence.
     const ConnectOutcome outcome =
         co_await ConnectTarget(forwarder, connection, deadline);
     state = outcome.status == ConnectStatus::kConnected ? ProcessState::kRunning
