--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -99,18 +99,26 @@
     callbacks.configuration_version = [this] {
       return configuration_version.load();
     };
-    callbacks.catalog_newer_than = [](const peer::FetchCatalogRequest&) {
-      return PeerCatalog();
+    callbacks.catalog_newer_than = [this](const peer::FetchCatalogRequest&) {
+      PeerCatalog catalog;
+      catalog.targets.emplace();
+      catalog.table_version = table_version;
+      return catalog;
     };
-    callbacks.table_version = [] { return catalog::TableVersion{1}; };
+    callbacks.table_version = [this] { return table_version; };
     callbacks.can_read_configuration = [] { return true; };
     callbacks.on_configuration_version = [this](uint64_t version) {
       known_configuration = std::max(known_configuration.load(), version);
     };
     callbacks.targets_revision = [] { return 1; };
-    callbacks.needs_catalog = [] { return false; };
+    callbacks.needs_catalog = [] { return true; };
     callbacks.needs_configuration = [] { return false; };
-    callbacks.on_catalog = [](const PeerCatalog&) { return false; };
+    callbacks.on_catalog = [this](const PeerCatalog& it) {
+      if (it.targets) {
+        fetched_era = it.table_version.era;
+      }
+      return false;
+    };
     callbacks.on_catalog_unchanged = [](const PeerCatalog&) {};
     callbacks.on_target_lost = [](const forward::TargetLoss&, uint64_t) {};
     callbacks.on_member_count = [this](size_t n) { member_count = n; };
@@ -175,6 +183,10 @@
     loop_.Post([this, suspects] { link_->ShareSuspects(suspects); });
   }
 
+  void FetchFromPeer() {
+    loop_.Post([this] { link_->FetchFromPeer(); });
+  }
+
   void AnnouncePathLost(bool is_lost) {
     loop_.Post([this, is_lost] { link_->AnnouncePathLost(is_lost); });
   }
@@ -214,6 +226,10 @@
   std::atomic<int> permits = 0;
   std::atomic<uint64_t> configuration_version = 1;
   std::atomic<uint64_t> known_configuration = 0;
+  /// To be set before Start().
+  catalog::TableVersion table_version{1};
+  /// Era of the targets last fetched from a peer.
+  std::atomic<uint64_t> fetched_era = 0;
 
   std::vector<forward::Suspect> suspected;
   std::atomic<uint64_t> learned_hash = 0;
@@ -245,6 +261,7 @@
   CPPUNIT_TEST(TestAllMembersAreToldOfSuspects);
   CPPUNIT_TEST(TestAllMembersLearnOfALostPathWithinASecond);
   CPPUNIT_TEST(TestAllMembersLearnOfANewerConfiguration);
+  CPPUNIT_TEST(TestTargetsOfALaterEraAreSentToAPeerWithAHigherVersion);
   CPPUNIT_TEST(TestStreamRecordOutlivesTheInstanceThatServedIt);
   CPPUNIT_TEST(TestOnlyVersionOfAServiceIsTheOriginOfItsStreams);
   CPPUNIT_TEST(TestStreamsBegunBeforeAReleaseGoOn);
@@ -403,6 +420,25 @@
     EXPECT(a.FindStream("s4").source == forward::VersionSource::kUnknown);
   }
 
+  // A peer kept its targets until the version counter had caught up.
+  void TestTargetsOfALaterEraAreSentToAPeerWithAHigherVersion() {
+    constexpr base::Millis kTimeout{5000};
+    const std::string address = FreeAddress();
+    Member a("a", address, {});
+    a.table_version = {5, 2};
+    Member b("b", FreeAddress(), {address});
+    b.table_version = {90, 1};
+    a.Start();
+    b.Start();
+    EXPECT(BecomesTrue([&] { return b.member_count == 2; }, kTimeout));
+    EXPECT(BecomesTrue(
+        [&] {
+          b.FetchFromPeer();
+          return b.fetched_era == 2;
+        },
+        kTimeout));
+  }
+
   void TestOnlyVersionOfAServiceIsTheOriginOfItsStreams() {
     constexpr base::Millis kTimeout{5000};
     const std::string address = FreeAddress();
