Tell why a caller's connection ended, and how a process failed

A caller that was taken for gone left no sign of what the socket had reported, exceptions of coroutines were dropped by asio::detached, an abort lost the queued lines and wrote none, and the phases of a stop left no counts.

New lines: caller_gone and answer_unwritten (sign, error of the socket), task_failed, process_failed (signal, open requests, exception), stop_phase. No cost at rest; four lines a stop, one for each caller that is gone.

The decisions are unchanged.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -74,6 +74,10 @@
   StdoutWriter().Push(buf, Clock::Now());
 }
 
+void WriteQueuedLogLines() {
+  StdoutWriter().WriteQueued();
+}
+
 int64_t DroppedLogLines() {
   return StdoutWriter().DroppedLines();
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -32,6 +32,10 @@
          std::string_view event,
          std::initializer_list<LogField> fields = {});
 
+/// Writes the lines that are queued, as far as that is possible at once. For
+/// the signal handler of a process that ends; allocates no memory.
+void WriteQueuedLogLines();
+
 /// Number of lines that were dropped since the process started.
 int64_t DroppedLogLines();
 
--- a/src/base/log_writer.cc
+++ b/src/base/log_writer.cc
@@ -18,6 +18,8 @@
 // blocking (PIPE_BUF).
 constexpr size_t kMaximumWriteBytes = 4096;
 constexpr double kMillisPerSecond = 1000;
+// How many milliseconds WriteQueued() waits for the queue.
+constexpr int kLockTries = 10;
 
 }  // namespace
 
@@ -63,6 +65,28 @@
   return true;
 }
 
+void LogWriter::WriteQueued() {
+  std::unique_lock lock(mutex_, std::try_to_lock);
+  for (int i = 0; !lock && i < kLockTries; ++i) {
+    poll(nullptr, 0, 1);
+    lock.try_lock();
+  }
+  if (!lock) {
+    return;
+  }
+  std::string_view left = queue_;
+  pollfd it{fd_, POLLOUT, 0};
+  while (!left.empty() && poll(&it, 1, 0) > 0) {
+    const ssize_t n =
+        write(fd_, left.data(), std::min(left.size(), kMaximumWriteBytes));
+    if (n <= 0) {
+      break;
+    }
+    left.remove_prefix(static_cast<size_t>(n));
+  }
+  queue_.clear();
+}
+
 int64_t LogWriter::DroppedLines() const {
   const std::lock_guard lock(mutex_);
   return dropped_lines_;
--- a/src/base/log_writer.h
+++ b/src/base/log_writer.h
@@ -42,6 +42,10 @@
   /// was dropped because of a limit in LogWriterOptions.
   bool Push(std::string_view line, Millis now);
 
+  /// Writes the queued lines on the calling thread, unless the queue stays in
+  /// use or the descriptor is not writable. Allocates no memory.
+  void WriteQueued();
+
   int64_t DroppedLines() const;
 
   /// How long the destructor waits when the descriptor is not writable.
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <CLI/CLI.hpp>
 
+#include "base/failure_report.h"
 #include "base/log.h"
 #include "base/signals.h"
 #include "base/version.h"
@@ -140,6 +141,7 @@
 
 int main(int argc, char** argv) {
   daisypond::base::BlockHandledSignals();
+  daisypond::base::InstallFailureReport();
   CLI::App app("daisypond-entry: an entry instance of daisypond");
   std::string config;
   auto* source = app.add_option_group("settings");
--- a/src/forward/caller_connection.cc
+++ b/src/forward/caller_connection.cc
@@ -28,6 +28,11 @@
       socket_.Raw(), net::asio::buffer(bytes.data(), bytes.size()),
       net::kAsTuple);
   socket_.ClearDeadline();
+  if (ec) {
+    OnDisconnected(socket_.HasTimedOut() ? DisconnectSign::kWriteTimedOut
+                                         : DisconnectSign::kWriteFailed,
+                   ec);
+  }
   co_return !ec;
 }
 
@@ -42,6 +47,14 @@
   on_disconnect_ = nullptr;
 }
 
+void CallerConnection::OnDisconnected(DisconnectSign sign,
+                                      const net::ErrorCode& ec) {
+  if (disconnect_sign_ == DisconnectSign::kNone) {
+    disconnect_sign_ = sign;
+    disconnect_error_ = ec;
+  }
+}
+
 void CallerConnection::WaitForReadable(uint64_t generation) {
   socket_.Raw().async_wait(
       net::Tcp::socket::wait_read,
@@ -57,8 +70,11 @@
           }
           return;
         }
-        if (ec || self->socket_.IsClosed()) {
-          self->is_disconnected_ = true;
+        const net::ErrorCode end = ec ? ec : self->socket_.EndOfInput();
+        if (end) {
+          self->OnDisconnected(
+              ec ? DisconnectSign::kWaitFailed : DisconnectSign::kInputEnded,
+              end);
           if (self->on_disconnect_) {
             std::exchange(self->on_disconnect_, nullptr)();
           }
--- a/src/forward/caller_connection.h
+++ b/src/forward/caller_connection.h
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/fields.hpp>
 
+#include "base/name_table.h"
 #include "net/timed_socket.h"
 
 namespace daisypond::forward {
@@ -19,6 +20,25 @@
 /// response.
 enum class ConnectionReuse : uint8_t { kKeepOpen, kClose };
 
+/// What showed that a caller does not wait for its answer any more.
+enum class DisconnectSign : uint8_t {
+  kNone,
+  /// The wait for input failed.
+  kWaitFailed,
+  /// The caller has ended its data, or the connection has failed.
+  kInputEnded,
+  kWriteFailed,
+  /// The caller did not read fast enough.
+  kWriteTimedOut,
+};
+
+inline constexpr base::NameTable<DisconnectSign, 5> kDisconnectSignNames(
+    "none",
+    "wait_failed",
+    "input_ended",
+    "write_failed",
+    "write_timed_out");
+
 /// An HTTP request that has been read completely from a caller.
 struct CallerRequest {
   std::string method;
@@ -58,16 +78,21 @@
   void StartDisconnectWatch(std::function<void()> on_disconnect);
   void StopDisconnectWatch();
 
-  bool IsDisconnected() const { return is_disconnected_; }
+  /// The first sign that the caller has disconnected, and the error of the
+  /// socket that came with it.
+  DisconnectSign FirstDisconnectSign() const { return disconnect_sign_; }
+  const net::ErrorCode& DisconnectError() const { return disconnect_error_; }
 
  private:
   void WaitForReadable(uint64_t generation);
+  void OnDisconnected(DisconnectSign sign, const net::ErrorCode& ec);
 
   net::TimedSocket socket_;
   boost::beast::flat_buffer buffer_;
   std::function<void()> on_disconnect_;
   uint64_t watch_generation_ = 0;
-  bool is_disconnected_ = false;
+  DisconnectSign disconnect_sign_ = DisconnectSign::kNone;
+  net::ErrorCode disconnect_error_;
 };
 
 }  // namespace daisypond::forward
--- a/src/forward/engine_poll.h
+++ b/src/forward/engine_poll.h
@@ -7,14 +7,13 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/log.h"
 #include "forward/dialect.h"
 #include "forward/target_call.h"
 #include "forward/target_selector.h"
+#include "net/spawn.h"
 
 namespace daisypond::forward {
 
@@ -77,9 +76,8 @@
     }
   };
   for (Placement& it : engines) {
-    net::asio::co_spawn(forwarder->executor,
-                        poll_engine(forwarder, state, std::move(it), deadline),
-                        net::asio::detached);
+    net::Spawn(forwarder->executor, "poll_engine",
+               poll_engine(forwarder, state, std::move(it), deadline));
   }
   co_await state->all_answered.async_wait(net::kAsTuple);
   co_return state->answered;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -639,6 +640,7 @@
     ReturnSlot(SlotOutcome::kUnused);
     if (is_caller_gone_) {
       forwarder_->metrics->Add(base::Counter::kCallersGone);
+      LogCallerGone("caller_gone");
       LogAnswer(0, base::Reason::kCallerGone);
       co_return ConnectionReuse::kClose;
     }
@@ -1229,6 +1231,9 @@
                                                       ConnectionReuse reuse) {
     const bool is_written =
         co_await caller_->Write(text, Clock::Now() + kWriteTimeout);
+    if (!is_written) {
+      LogCallerGone("answer_unwritten");
+    }
     co_return is_written ? reuse : ConnectionReuse::kClose;
   }
 
@@ -1517,6 +1522,19 @@
                {"got", event.id.value_or(-1)}});
   }
 
+  /// Logs what showed that the caller does not get its answer.
+  void LogCallerGone(std::string_view event) const {
+    base::Log(
+        base::LogLevel::kInfo, event,
+        {{"request", request_info_.id},
+         {"sign", kDisconnectSignNames.NameOf(caller_->FirstDisconnectSign())},
+         {"error", caller_->DisconnectError().message()},
+         {"sends", n_send_attempts_},
+         {"events", last_written_event_},
+         {"stopping", forwarder_->is_stopping},
+         {"took_ms", (Clock::Now() - request_.arrived_at).count}});
+  }
+
   void LogAnswer(unsigned status, base::Reason reason) const {
     base::Log(base::LogLevel::kInfo, "answer",
               {{"request", request_info_.id},
--- a/src/forward/path_monitor.cc
+++ b/src/forward/path_monitor.cc
@@ -4,11 +4,9 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "base/log.h"
 #include "forward/forwarder.h"
+#include "net/spawn.h"
 
 namespace daisypond::forward {
 
@@ -373,7 +371,7 @@
     timer_.cancel();
     return;
   }
-  net::asio::co_spawn(forwarder_->executor, Run(), net::asio::detached);
+  net::Spawn(forwarder_->executor, "path_monitor", Run());
 }
 
 net::asio::awaitable<void> PathMonitor::Run() {
@@ -381,8 +379,7 @@
     CheckSlowConnects();
     CheckSilence();
     for (std::string& it : path_.TakeProbes(base::Clock::Now())) {
-      net::asio::co_spawn(forwarder_->executor, Probe(std::move(it)),
-                          net::asio::detached);
+      net::Spawn(forwarder_->executor, "path_probe", Probe(std::move(it)));
     }
     Update();
     InterruptSends();
--- a/src/forward/run_copy.h
+++ b/src/forward/run_copy.h
@@ -6,14 +6,12 @@
 #include <string>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "base/log.h"
 #include "forward/dialect.h"
 #include "forward/exchange_limits.h"
 #include "forward/target_call.h"
 #include "forward/target_selector.h"
+#include "net/spawn.h"
 
 namespace daisypond::forward {
 
@@ -78,9 +76,8 @@
       return;
     }
     state_->is_copying = true;
-    net::asio::co_spawn(forwarder_->executor,
-                        CreateCopy(forwarder_, state_, std::move(*holder)),
-                        net::asio::detached);
+    net::Spawn(forwarder_->executor, "create_copy",
+               CreateCopy(forwarder_, state_, std::move(*holder)));
   }
 
   /// Deletes a copy on demand that is no longer needed. A copy that the engine
@@ -90,8 +87,8 @@
     if (!state_->is_on_demand || !state_->copy) {
       return;
     }
-    net::asio::co_spawn(forwarder_->executor, DeleteCopy(forwarder_, state_),
-                        net::asio::detached);
+    net::Spawn(forwarder_->executor, "delete_copy",
+               DeleteCopy(forwarder_, state_));
   }
 
  private:
--- a/src/forward/session.h
+++ b/src/forward/session.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "base/failure_report.h"
 #include "forward/caller_connection.h"
 #include "forward/exchange.h"
 #include "forward/forwarder.h"
@@ -121,6 +122,7 @@
       co_return co_await Refuse(request.error());
     }
     state_ = SessionState::kServing;
+    const base::OpenRequest open_request;
     Exchange<DialectType> exchange(forwarder_, connection_.get(),
                                    std::move(*request));
     request_id_ = exchange.Id();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,12 +11,11 @@
 #include <thread>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include "base/failure_report.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "catalog/table_watcher.h"
@@ -31,6 +30,7 @@
 #include "gateway/stream_record_store.h"
 #include "gateway/tunnel_target.h"
 #include "net/address.h"
+#include "net/spawn.h"
 #include "tunnel/server.h"
 
 namespace daisypond::gateway {
@@ -128,7 +128,7 @@
         };
     forwarder_.on_unshared_parts = [this] {
       if (!std::exchange(is_sharing_parts_, true)) {
-        asio::co_spawn(traffic_, ShareParts(), asio::detached);
+        net::Spawn(traffic_, "share_parts", ShareParts());
       }
     };
     forwarder_.on_path_changed = [this](bool is_lost) {
@@ -168,12 +168,12 @@
                 std::function<void(StoredRecordResult)> done) {
            stream_record_store_.Find(id, std::move(done));
          }});
-    asio::co_spawn(traffic_, AcceptConnections(), asio::detached);
-    asio::co_spawn(traffic_, RunMaintenance(), asio::detached);
-    asio::co_spawn(control_, configuration_watcher_.Run(), asio::detached);
-    asio::co_spawn(control_, target_watcher_.Run(), asio::detached);
-    asio::co_spawn(control_, release_records_.Run(), asio::detached);
-    asio::co_spawn(control_, stream_record_store_.Run(), asio::detached);
+    net::Spawn(traffic_, "accept", AcceptConnections());
+    net::Spawn(traffic_, "maintenance", RunMaintenance());
+    net::Spawn(control_, "configuration_watcher", configuration_watcher_.Run());
+    net::Spawn(control_, "target_watcher", target_watcher_.Run());
+    net::Spawn(control_, "release_records", release_records_.Run());
+    net::Spawn(control_, "stream_record_store", stream_record_store_.Run());
     StartPeriodicTask(kDropMissingTargetsPeriod,
                       [this] { catalog_source_.DropMissingTargets(); });
     StartPeriodicTask(peer::MembershipProtocol::kProbePeriod,
@@ -200,7 +200,7 @@
     std::promise<size_t> drained;
     asio::post(traffic_, [this, schedule, &drained] {
       BeginStop(schedule);
-      asio::co_spawn(traffic_, Drain(&drained), asio::detached);
+      net::Spawn(traffic_, "drain", Drain(&drained));
     });
     asio::post(control_, [this] { peer_link_->LeaveGroup(); });
     std::this_thread::sleep_for(
@@ -468,7 +468,7 @@
     }
     const uint64_t id = ++last_session_id_;
     sessions_[id] = std::make_shared<Session>(&forwarder_, std::move(socket));
-    asio::co_spawn(traffic_, RunSession(id), asio::detached);
+    net::Spawn(traffic_, "session", RunSession(id));
   }
 
   asio::awaitable<void> RunSession(uint64_t id) {
@@ -490,8 +490,8 @@
   /// Runs `task` on the control thread, first at once, then every `period`.
   template <typename Task>
   void StartPeriodicTask(base::Millis period, Task task) {
-    asio::co_spawn(control_, RunPeriodically(period, std::move(task)),
-                   asio::detached);
+    net::Spawn(control_, "periodic_task",
+               RunPeriodically(period, std::move(task)));
   }
 
   template <typename Task>
@@ -636,6 +636,7 @@
 
   void BeginStop(const StopSchedule& schedule) {
     stop_schedule_ = schedule;
+    base::CurrentProcessState().is_stopping = true;
     forwarder_.is_stopping = true;
     forwarder_.stop_at = schedule.EndRequestsAt();
     forwarder_.out_of_rotation_at = schedule.OutOfRotationAt();
@@ -650,11 +651,15 @@
     asio::steady_timer timer(traffic_);
     bool are_requests_ended = false;
     bool is_drained = false;
+    std::optional<StopPhase> logged_phase;
     while (!is_drained) {
       timer.expires_after(kDrainPollPeriod.ToChrono());
       co_await timer.async_wait(net::kAsTuple);
       const base::Millis now = base::Clock::Now();
       const StopPhase phase = stop_schedule_.PhaseAt(now);
+      if (std::exchange(logged_phase, phase) != phase) {
+        LogStopPhase(phase, now);
+      }
       // Answers to requests that have just been ended get one more period, also
       // if the process has not run for a while.
       is_drained = phase == StopPhase::kClosing && are_requests_ended;
@@ -673,6 +678,15 @@
     drained->set_value(CloseSessions());
   }
 
+  void LogStopPhase(StopPhase phase, base::Millis now) const {
+    base::Log(base::LogLevel::kInfo, "stop_phase",
+              {{"phase", kStopPhaseNames.NameOf(phase)},
+               {"connections", sessions_.size()},
+               {"requests", base::CurrentProcessState().open_requests.load()},
+               {"tunnels", tunnel_server_.OpenTunnels()},
+               {"after_ms", (now - stop_schedule_.BeganAt()).count}});
+  }
+
   void CloseIdleSessions() {
     for (const auto& it : sessions_) {
       it.second->CloseIfIdle();
--- a/src/gateway/stop_schedule.h
+++ b/src/gateway/stop_schedule.h
@@ -31,6 +31,7 @@
   StopSchedule(base::Millis began_at, base::Millis grace)
       : began_at_(began_at), grace_(grace) {}
 
+  base::Millis BeganAt() const { return began_at_; }
   /// When the load balancer has stopped sending new connections.
   base::Millis OutOfRotationAt() const { return began_at_ + kRotationDelay; }
   /// When requests that are still open are ended.
--- a/src/gateway/stream_record_store.h
+++ b/src/gateway/stream_record_store.h
@@ -8,8 +8,6 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/clock.h"
@@ -19,6 +17,7 @@
 #include "forward/stream_record.h"
 #include "gateway/shared_stream_records.h"
 #include "gateway/stream_record_queue.h"
+#include "net/spawn.h"
 #include "net/timed_socket.h"
 
 namespace daisypond::gateway {
@@ -58,8 +57,7 @@
   void Find(const std::string& id, LookupCallback done) {
     lookups_.emplace_back(id, std::move(done));
     if (!std::exchange(is_reading_, true)) {
-      boost::asio::co_spawn(reader_->Executor(), RunLookups(),
-                            boost::asio::detached);
+      net::Spawn(reader_->Executor(), "stream_record_lookups", RunLookups());
     }
   }
 
--- a/src/net/timed_socket.cc
+++ b/src/net/timed_socket.cc
@@ -28,7 +28,8 @@
 
 enum class PeekResult : uint8_t { kNoData, kData, kClosed };
 
-PeekResult Peek(int fd) {
+/// Looks for received bytes. `end` is set to the reason for kClosed.
+PeekResult Peek(int fd, ErrorCode* end) {
   char buf = 0;
   const ssize_t n = recv(fd, &buf, 1, MSG_PEEK | MSG_DONTWAIT);
   if (n > 0) {
@@ -37,6 +38,8 @@
   if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
     return PeekResult::kNoData;
   }
+  *end = n == 0 ? asio::error::make_error_code(asio::error::eof)
+                : ErrorCode(errno, boost::system::system_category());
   return PeekResult::kClosed;
 }
 
@@ -119,18 +122,24 @@
 }
 
 bool TimedSocket::HasUnreadBytes() {
+  ErrorCode ignored;
   return socket_.is_open() &&
-         Peek(socket_.native_handle()) == PeekResult::kData;
+         Peek(socket_.native_handle(), &ignored) == PeekResult::kData;
 }
 
 bool TimedSocket::HasInputOrIsClosed() {
+  ErrorCode ignored;
   return !socket_.is_open() ||
-         Peek(socket_.native_handle()) != PeekResult::kNoData;
+         Peek(socket_.native_handle(), &ignored) != PeekResult::kNoData;
 }
 
-bool TimedSocket::IsClosed() {
-  return !socket_.is_open() ||
-         Peek(socket_.native_handle()) == PeekResult::kClosed;
+ErrorCode TimedSocket::EndOfInput() {
+  ErrorCode end;
+  if (!socket_.is_open()) {
+    return asio::error::make_error_code(asio::error::not_connected);
+  }
+  Peek(socket_.native_handle(), &end);
+  return end;
 }
 
 }  // namespace daisypond::net
--- a/src/net/timed_socket.h
+++ b/src/net/timed_socket.h
@@ -87,9 +87,11 @@
   /// consume bytes.
   bool HasInputOrIsClosed();
 
-  /// True when either end has closed or reset the connection. False while there
-  /// are unread bytes. Does not block or consume bytes.
-  bool IsClosed();
+  /// Returns why nothing more can be read: asio::error::eof after the orderly
+  /// end of the other end's data, or the error of the connection. Returns no
+  /// error while the connection is open or has unread bytes. Does not block or
+  /// consume bytes.
+  ErrorCode EndOfInput();
 
  private:
   Tcp::socket socket_;
--- a/src/tunnel/byte_relay.cc
+++ b/src/tunnel/byte_relay.cc
@@ -5,10 +5,9 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
+#include "net/spawn.h"
 #include "tunnel/frame.h"
 
 namespace daisypond::tunnel {
@@ -41,10 +40,8 @@
               to_target_.buf.begin());
   for (Flow* it : {&to_target_, &from_target_}) {
     ++n_running_;
-    net::asio::co_spawn(
-        it->from->Raw().get_executor(),
-        [self = shared_from_this(), it] { return self->Run(it); },
-        net::asio::detached);
+    net::Spawn(it->from->Raw().get_executor(), "tunnel_relay",
+               [self = shared_from_this(), it] { return self->Run(it); });
   }
 }
 
--- a/src/tunnel/server.cc
+++ b/src/tunnel/server.cc
@@ -6,12 +6,11 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
 #include "base/log.h"
 #include "net/address.h"
+#include "net/spawn.h"
 #include "tunnel/handshake.h"
 
 namespace daisypond::tunnel {
@@ -100,7 +99,7 @@
   if (ec) {
     return false;
   }
-  net::asio::co_spawn(executor_, AcceptConnections(), net::asio::detached);
+  net::Spawn(executor_, "tunnel_accept", AcceptConnections());
   return true;
 }
 
@@ -118,8 +117,8 @@
       net::TimedSocket(std::move(socket)).Reset();
       continue;
     }
-    net::asio::co_spawn(executor_, ServeConnection(std::move(socket)),
-                        net::asio::detached);
+    net::Spawn(executor_, "tunnel_handshake",
+               ServeConnection(std::move(socket)));
   }
 }
 
