--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -38,6 +38,9 @@
 constexpr base::Millis kStopTime{300};
 // Time allowed for an answer after the instance has ended its open requests.
 constexpr int kStopLagMs = 200;
+constexpr int kKeptCallers = 12;
+constexpr uint64_t kLongestPauseMs = 12;
+constexpr int kSendsPerErrorAnswer = 7;
 
 /// Formats a complete HTTP response of a target.
 std::string MakeAnswer(int status,
@@ -331,6 +334,7 @@
   CPPUNIT_TEST(TestStreamWithoutEventIsAnsweredBeforeTheInstanceStops);
   CPPUNIT_TEST(TestRequestOnAnIdleConnectionIsAnsweredWhenItIsClosed);
   CPPUNIT_TEST(TestRequestThatArrivesBeforeTheIdleTimeoutIsAnswered);
+  CPPUNIT_TEST(TestPassedOnRequestIsAnsweredWhileIdleConnectionsAreClosed);
   CPPUNIT_TEST(TestReplacedTargetGetsNoFurtherRequests);
   CPPUNIT_TEST(TestRequestThatCrashesTargetsIsNoLongerSent);
   CPPUNIT_TEST(TestRequestThatCrashesTargetsAfterFirstEventIsNoLongerSent);
@@ -931,6 +935,47 @@
     EXPECT_EQ(std::string("200"), ReadStatus(caller));
   }
 
+  void TestPassedOnRequestIsAnsweredWhileIdleConnectionsAreClosed() {
+    for (int i = 0; i < 3; ++i) {
+      AddTarget(
+          [this](LoopbackConnection& connection, const std::string& header) {
+            return connection.Send(
+                MakeAnswer(++n_sends_ % kSendsPerErrorAnswer == 0 ? 500 : 200,
+                           HeaderField(header, "Request-Id"), ""));
+          });
+    }
+    std::atomic<bool> is_over = false;
+    std::mutex mutex;
+    std::set<std::string> unanswered;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < kKeptCallers; ++i) {
+      callers.emplace_back([&, i] {
+        const std::set<std::string> own =
+            CallUntil(is_over, fmt::format("c{}", i));
+        const std::lock_guard lock(mutex);
+        unanswered.insert(own.begin(), own.end());
+      });
+    }
+    const base::Millis end = base::Clock::Now() + kRouteTimeout * 2;
+    for (int i = 0; base::Clock::Now() < end; ++i) {
+      instance_->CloseIdleConnections();
+      if (i % 50 == 0) {
+        SetIdleTimeout(base::Millis{i % 3 == 0 ? 10 : 2000});
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    is_over = true;
+    for (std::thread& it : callers) {
+      it.join();
+    }
+    EXPECT(TotalRequests() >= kKeptCallers);
+    for (const auto& target : targets_) {
+      for (const std::string& it : target->Requests()) {
+        EXPECT(!unanswered.contains(HeaderField(it, "Request-Id")));
+      }
+    }
+  }
+
   void TestReplacedTargetGetsNoFurtherRequests() {
     FakeTarget& target = AddTarget(
         [](LoopbackConnection& connection, const std::string& header) {
@@ -1572,6 +1617,28 @@
     return header.size() < 12 ? header : header.substr(9, 3);
   }
 
+  /// Sends requests on connections that are kept open as long as they can be
+  /// used. Returns the ids of those that got no answer.
+  std::set<std::string> CallUntil(const std::atomic<bool>& is_over,
+                                  const std::string& name) {
+    std::set<std::string> unanswered;
+    std::optional<Caller> caller;
+    for (int i = 0; !is_over; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(
+          static_cast<int64_t>(base::RandomNumber() % kLongestPauseMs)));
+      if (!caller || caller->connection->ClosesWithin(1)) {
+        caller.emplace(instance_->Port());
+      }
+      const std::string id = fmt::format("{}-{}", name, i);
+      caller->SendRequest("GET", "/safe/a", id);
+      if (ReadStatus(*caller).empty()) {
+        unanswered.insert(id);
+        caller.reset();
+      }
+    }
+    return unanswered;
+  }
+
   static std::string StatusOfNext(Caller & caller) {
     caller.SendRequest("POST", "/once/a", "r0", "Content-Length: 0\r\n");
     return ReadStatus(caller);
