Answer requests that an exception has ended

What callers saw (in the test): no answer; when the caller left, the process ended with a segmentation fault, and with it every other request.

Cause: the coroutine of a session was started with asio::detached, which drops exceptions. The exchange was destroyed, while its callback for the caller's end stayed registered, the session stayed listed with a pointer to it, the send stayed open for the path monitor, and the connection stayed open.

Now the session catches the exception: the send is ended for all who count it, and the caller gets a verdict that says whether a target may have run the request, or a reset if an answer had begun.

TestRequestThatFailsInternallyIsAnswered: segmentation fault before, 502 after.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -92,6 +92,26 @@
     co_return reuse;
   }
 
+  /// Ends the request after Run() has thrown an exception. The caller gets a
+  /// verdict, unless bytes of an answer have been written.
+  net::asio::awaitable<ConnectionReuse> FailAfterException(std::string error) {
+    base::Log(base::LogLevel::kError, "request_failed",
+              {{"request", request_info_.id}, {"error", error}});
+    caller_->StopDisconnectWatch();
+    EndBrokenSend();
+    if (is_answer_begun_) {
+      caller_->Socket().Reset();
+      co_return ConnectionReuse::kClose;
+    }
+    base::Verdict verdict;
+    verdict.execution =
+        send_tracker_ ? send_tracker_->Execution() : base::Execution::kNotRun;
+    verdict.reason = base::Reason::kInternal;
+    verdict.detail = "this instance has failed to serve the request";
+    co_await AnswerVerdict(verdict);
+    co_return ConnectionReuse::kClose;
+  }
+
   /// Ends the request at once, because the process stops. A caller that has
   /// received nothing yet gets a verdict.
   void EndForStop() {
@@ -697,8 +717,10 @@
     StartCopyFor(placement);
     forwarder_->metrics->Add(base::Counter::kSends);
     forwarder_->selector.OnSend(placement.id);
+    send_target_ = placement.id;
     SendResult result = co_await SendAndReadAnswer(placement, reason);
     forwarder_->selector.OnSendEnded(placement.id);
+    send_target_.clear();
     ReturnSlotAfterSend(placement, result);
     UpdateCopyOfRun(result.outcome, first_event);
     active_connection_.reset();
@@ -726,6 +748,24 @@
     }
   }
 
+  /// Ends a send that an exception has left in progress, if there is one.
+  void EndBrokenSend() {
+    if (active_connection_ != nullptr) {
+      active_connection_->Abandon();
+      forwarder_->path_monitor.OnSendEnded(active_connection_,
+                                           ReadStatus::kDone);
+      active_connection_.reset();
+    }
+    if (!send_target_.empty()) {
+      forwarder_->selector.OnSendEnded(send_target_);
+      send_target_.clear();
+    }
+    if (copy_manager_) {
+      UpdateCopyOfRun(SendOutcome::kUnknown, last_received_event_);
+    }
+    ReturnSlot(SlotOutcome::kAbandoned);
+  }
+
   void RecordFailure(const Placement& placement, const SendResult& result) {
     const Millis now = Clock::Now();
     if (result.outcome == SendOutcome::kRefused) {
@@ -1229,6 +1269,7 @@
 
   net::asio::awaitable<ConnectionReuse> WriteToCaller(const std::string& text,
                                                       ConnectionReuse reuse) {
+    is_answer_begun_ = true;
     const bool is_written =
         co_await caller_->Write(text, Clock::Now() + kWriteTimeout);
     if (!is_written) {
@@ -1406,6 +1447,7 @@
     }
     last_written_event_ = last_received_event_;
     text += FormatChunk(events);
+    is_answer_begun_ = true;
     co_return co_await caller_->Write(text, now + kWriteTimeout);
   }
 
@@ -1594,6 +1636,8 @@
   bool is_slot_refused_ = false;
   bool is_caller_gone_ = false;
   bool is_ended_for_stop_ = false;
+  /// Id of the target of the send in progress, or empty.
+  std::string send_target_;
   /// The connection of the send in progress.
   std::shared_ptr<TargetConnection> active_connection_;
   /// The peer that relays the connection of the last send; empty if none does.
@@ -1625,6 +1669,8 @@
   /// True when RecordAnswer() has been called for the send in progress.
   bool is_answer_recorded_ = false;
   bool is_header_written_ = false;
+  /// True when the write of an answer has begun.
+  bool is_answer_begun_ = false;
   Millis last_write_at_;
   Millis longest_gap_;
 };
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -335,6 +335,7 @@
   CPPUNIT_TEST(TestRequestOnAnIdleConnectionIsAnsweredWhenItIsClosed);
   CPPUNIT_TEST(TestRequestThatArrivesBeforeTheIdleTimeoutIsAnswered);
   CPPUNIT_TEST(TestPassedOnRequestIsAnsweredWhileIdleConnectionsAreClosed);
+  CPPUNIT_TEST(TestRequestThatFailsInternallyIsAnswered);
   CPPUNIT_TEST(TestReplacedTargetGetsNoFurtherRequests);
   CPPUNIT_TEST(TestRequestThatCrashesTargetsIsNoLongerSent);
   CPPUNIT_TEST(TestRequestThatCrashesTargetsAfterFirstEventIsNoLongerSent);
@@ -976,6 +977,17 @@
     }
   }
 
+  void TestRequestThatFailsInternallyIsAnswered() {
+    AddTarget([](LoopbackConnection& connection, const std::string& header) {
+      return connection.Send(MakeAnswer(200, HeaderField(header, "Request-Id"),
+                                        "", "Throw: 1\r\n"));
+    });
+    Caller caller(instance_->Port());
+    caller.SendRequest("POST", "/once/a", "r1", "Content-Length: 0\r\n");
+    EXPECT_EQ(std::string("502"), ReadStatus(caller));
+    EXPECT(caller.connection->ClosesWithin(kStopLagMs));
+  }
+
   void TestReplacedTargetGetsNoFurtherRequests() {
     FakeTarget& target = AddTarget(
         [](LoopbackConnection& connection, const std::string& header) {
--- a/src/forward/session.h
+++ b/src/forward/session.h
@@ -1,6 +1,7 @@
 #ifndef DAISYPOND_FORWARD_SESSION_H_
 #define DAISYPOND_FORWARD_SESSION_H_
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include "forward/forwarder.h"
 #include "forward/request_reader.h"
 #include "forward/session_state.h"
+#include "net/spawn.h"
 
 namespace daisypond::forward {
 
@@ -127,11 +129,23 @@
                                    std::move(*request));
     request_id_ = exchange.Id();
     exchange_ = &exchange;
-    const ConnectionReuse reuse = co_await exchange.Run();
+    const ConnectionReuse reuse = co_await RunExchange(&exchange);
     exchange_ = nullptr;
     co_return reuse;
   }
 
+  net::asio::awaitable<ConnectionReuse> RunExchange(
+      Exchange<DialectType>* exchange) {
+    std::exception_ptr exception;
+    try {
+      co_return co_await exchange->Run();
+    } catch (...) {
+      exception = std::current_exception();
+    }
+    co_return co_await exchange->FailAfterException(
+        net::DescribeException(exception));
+  }
+
   net::asio::awaitable<ConnectionReuse> Refuse(RequestReadError read_error) {
     const std::optional<base::Verdict> verdict =
         VerdictForReadError(read_error);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <exception>
 #include <future>
 #include <map>
 #include <memory>
@@ -473,8 +474,17 @@
 
   asio::awaitable<void> RunSession(uint64_t id) {
     const std::shared_ptr<Session> session = sessions_[id];
-    co_await session->Run();
+    std::exception_ptr exception;
+    try {
+      co_await session->Run();
+    } catch (...) {
+      exception = std::current_exception();
+    }
     sessions_.erase(id);
+    if (exception) {
+      session->Close();
+      std::rethrow_exception(exception);
+    }
   }
 
   asio::awaitable<void> RunMaintenance() {
--- a/tests/plain_dialect.h
+++ b/tests/plain_dialect.h
@@ -3,6 +3,7 @@
 
 #include <cstdlib>
 #include <optional>
+#include <stdexcept>
 #include <string>
 
 #include "base/hash.h"
@@ -88,6 +89,9 @@
                                                        const Fields& from) {
     constexpr unsigned kMisdirected = 421;
     forward::ResponseMetadata metadata;
+    if (from.find("Throw") != from.end()) {
+      throw std::runtime_error("an answer that the dialect can't read");
+    }
     metadata.id = Text(from, "Request-Id");
     metadata.is_sealed = from.find("Seal") != from.end();
     metadata.is_wrong_target = status == kMisdirected;
