--- a/src/forward/session.h
+++ b/src/forward/session.h
@@ -1,16 +1,19 @@
 #ifndef DAISYPOND_FORWARD_SESSION_H_
 #define DAISYPOND_FORWARD_SESSION_H_
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 
+#include "base/failure_report.h"
 #include "forward/caller_connection.h"
 #include "forward/exchange.h"
 #include "forward/forwarder.h"
 #include "forward/request_reader.h"
 #include "forward/session_state.h"
+#include "net/spawn.h"
 
 namespace daisypond::forward {
 
@@ -121,15 +124,28 @@
       co_return co_await Refuse(request.error());
     }
     state_ = SessionState::kServing;
+    const base::OpenRequest open_request;
     Exchange<DialectType> exchange(forwarder_, connection_.get(),
                                    std::move(*request));
     request_id_ = exchange.Id();
     exchange_ = &exchange;
-    const ConnectionReuse reuse = co_await exchange.Run();
+    const ConnectionReuse reuse = co_await RunExchange(&exchange);
     exchange_ = nullptr;
     co_return reuse;
   }
 
+  net::asio::awaitable<ConnectionReuse> RunExchange(
+      Exchange<DialectType>* exchange) {
+    std::exception_ptr exception;
+    try {
+      co_return co_await exchange->Run();
+    } catch (...) {
+      exception = std::current_exception();
+    }
+    co_return co_await exchange->FailAfterException(
+        net::DescribeException(exception));
+  }
+
   net::asio::awaitable<ConnectionReuse> Refuse(RequestReadError read_error) {
     const std::optional<base::Verdict> verdict =
         VerdictForReadError(read_error);
