Do not pass on requests of callers that have left

What callers saw: nothing; what targets saw: runs that were cut as they arrived.

Cause: the watch for the caller's end reports through the event loop, and between reading a request and sending it on an open connection the thread returns to no event. Now the connection is looked at before each send, one recv() without waiting.

TestRequestOfACallerThatHasLeftIsNotPassedOn: 3 requests at the target before, 2 after.

--- a/src/forward/caller_connection.cc
+++ b/src/forward/caller_connection.cc
@@ -36,6 +36,14 @@
   co_return !ec;
 }
 
+bool CallerConnection::HasDisconnected() {
+  const net::ErrorCode end = socket_.EndOfInput();
+  if (end) {
+    OnDisconnected(DisconnectSign::kInputEnded, end);
+  }
+  return disconnect_sign_ != DisconnectSign::kNone;
+}
+
 void CallerConnection::StartDisconnectWatch(
     std::function<void()> on_disconnect) {
   on_disconnect_ = std::move(on_disconnect);
--- a/src/forward/caller_connection.h
+++ b/src/forward/caller_connection.h
@@ -78,6 +78,10 @@
   void StartDisconnectWatch(std::function<void()> on_disconnect);
   void StopDisconnectWatch();
 
+  /// True when the caller has ended its data or the connection has failed. Also
+  /// detects what the watch has not reported yet.
+  bool HasDisconnected();
+
   /// The first sign that the caller has disconnected, and the error of the
   /// socket that came with it.
   DisconnectSign FirstDisconnectSign() const { return disconnect_sign_; }
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -897,6 +897,12 @@
 
   net::asio::awaitable<SendResult> SendAndReadAnswer(const Placement& placement,
                                                      base::Reason reason) {
+    // The watch reports nothing while this thread reads and sends.
+    if (caller_->HasDisconnected()) {
+      is_caller_gone_ = true;
+      co_return SendResult{SendOutcome::kNotSent, base::Reason::kCallerGone,
+                           std::nullopt};
+    }
     const std::shared_ptr<TargetConnection> connection =
         co_await OpenConnection(placement);
     LogSend(placement, reason, connection.get());
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -303,6 +303,7 @@
   CPPUNIT_TEST(TestExtraBytesPreventConnectionReuse);
   CPPUNIT_TEST(TestErrorAnswerToRunOnceIsRelayed);
   CPPUNIT_TEST(TestCallerDisconnectClosesTargetConnection);
+  CPPUNIT_TEST(TestRequestOfACallerThatHasLeftIsNotPassedOn);
   CPPUNIT_TEST(TestStreamResumesAfterEngineLoss);
   CPPUNIT_TEST(TestStreamResumesFromCopy);
   CPPUNIT_TEST(TestStreamGoesOnOnlyAtTheVersionThatBeganIt);
@@ -561,6 +562,18 @@
     EXPECT(is_closed);
   }
 
+  void TestRequestOfACallerThatHasLeftIsNotPassedOn() {
+    AddEchoTarget();
+    {
+      Caller caller(instance_->Port());
+      EXPECT_EQ(std::string("200"), StatusOfNext(caller));
+      instance_->Stall(kStall);
+      caller.SendRequest("GET", "/safe/a", "r1");
+    }
+    EXPECT_EQ(std::string("200"), RequestStatus("POST", "/once/a"));
+    EXPECT_EQ(size_t{2}, TotalRequests());
+  }
+
   void TestStreamResumesAfterEngineLoss() {
     AddEngines(
         3, [this](LoopbackConnection& connection, const std::string& header) {
