Give a caller that ends its data before its answer a verdict

Cause: the end of the caller's data was taken for the end of the caller, whose connection was closed without a word. Now a caller whose connection has not failed gets a verdict that says whether a target may have run the request, unless an answer has begun. The run is still given up: a caller that has closed both directions looks the same, and targets must not work for it.

TestCallerThatEndsItsDataEarlyGetsAVerdict: no answer before, 502 after.

--- a/src/forward/caller_connection.h
+++ b/src/forward/caller_connection.h
@@ -87,6 +87,14 @@
   DisconnectSign FirstDisconnectSign() const { return disconnect_sign_; }
   const net::ErrorCode& DisconnectError() const { return disconnect_error_; }
 
+  /// True when the caller may still read: the connection has not failed. A
+  /// caller that has ended its data may have closed only its own direction.
+  bool MayStillRead() const {
+    return disconnect_sign_ == DisconnectSign::kNone ||
+           (disconnect_sign_ == DisconnectSign::kInputEnded &&
+            disconnect_error_ == net::asio::error::eof);
+  }
+
  private:
   void WaitForReadable(uint64_t generation);
   void OnDisconnected(DisconnectSign sign, const net::ErrorCode& ec);
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -659,10 +659,7 @@
   net::asio::awaitable<ConnectionReuse> FailRequest(base::Reason reason) {
     ReturnSlot(SlotOutcome::kUnused);
     if (is_caller_gone_) {
-      forwarder_->metrics->Add(base::Counter::kCallersGone);
-      LogCallerGone("caller_gone");
-      LogAnswer(0, base::Reason::kCallerGone);
-      co_return ConnectionReuse::kClose;
+      co_return co_await EndForGoneCaller();
     }
     if (is_ended_for_stop_) {
       reason = base::Reason::kStopping;
@@ -695,6 +692,24 @@
     co_return co_await AnswerVerdict(verdict);
   }
 
+  /// Ends the request of a caller that has ended its data. If no answer has
+  /// begun, the caller gets a verdict: it may have closed only its own
+  /// direction of the connection.
+  net::asio::awaitable<ConnectionReuse> EndForGoneCaller() {
+    forwarder_->metrics->Add(base::Counter::kCallersGone);
+    LogCallerGone("caller_gone");
+    if (is_answer_begun_ || !caller_->MayStillRead()) {
+      LogAnswer(0, base::Reason::kCallerGone);
+      co_return ConnectionReuse::kClose;
+    }
+    base::Verdict verdict;
+    verdict.execution = send_tracker_->Execution();
+    verdict.reason = base::Reason::kCallerGone;
+    verdict.detail = "the caller has ended its data";
+    co_await AnswerVerdict(verdict, ConnectionReuse::kClose);
+    co_return ConnectionReuse::kClose;
+  }
+
   /// Returns the Retry-After value when targets have no permits left. Spread
   /// out, so that the refused callers do not return together.
   Millis RetryAfterForLimit() const {
@@ -1471,10 +1486,14 @@
   }
 
   net::asio::awaitable<ConnectionReuse> AnswerVerdict(base::Verdict verdict) {
+    return AnswerVerdict(std::move(verdict), ChooseConnectionReuse());
+  }
+
+  net::asio::awaitable<ConnectionReuse> AnswerVerdict(base::Verdict verdict,
+                                                      ConnectionReuse reuse) {
     forwarder_->metrics->AddRefusal(verdict.reason);
     LogAnswer(static_cast<unsigned>(HttpStatusForVerdict(verdict)),
               verdict.reason);
-    const ConnectionReuse reuse = ChooseConnectionReuse();
     co_return co_await WriteToCaller(FormatVerdictResponse(verdict, reuse),
                                      reuse);
   }
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -274,6 +274,9 @@
     }
   }
 
+  /// Closes the caller's own direction of the connection.
+  void EndData() const { shutdown(fd_, SHUT_WR); }
+
   void SendRequest(const std::string& method,
                    const std::string& path,
                    const std::string& id,
@@ -304,6 +307,7 @@
   CPPUNIT_TEST(TestErrorAnswerToRunOnceIsRelayed);
   CPPUNIT_TEST(TestCallerDisconnectClosesTargetConnection);
   CPPUNIT_TEST(TestRequestOfACallerThatHasLeftIsNotPassedOn);
+  CPPUNIT_TEST(TestCallerThatEndsItsDataEarlyGetsAVerdict);
   CPPUNIT_TEST(TestStreamResumesAfterEngineLoss);
   CPPUNIT_TEST(TestStreamResumesFromCopy);
   CPPUNIT_TEST(TestStreamGoesOnOnlyAtTheVersionThatBeganIt);
@@ -562,6 +566,20 @@
     EXPECT(is_closed);
   }
 
+  void TestCallerThatEndsItsDataEarlyGetsAVerdict() {
+    AddTarget([](LoopbackConnection& connection, const std::string&) {
+      return connection.ReadUntil("", kReadTimeoutMs).empty();
+    });
+    Caller caller(instance_->Port());
+    caller.SendRequest("GET", "/safe/a", "r1");
+    while (TotalRequests() == 0) {
+      std::this_thread::yield();
+    }
+    caller.EndData();
+    EXPECT_EQ(std::string("502"), ReadStatus(caller));
+    EXPECT(caller.connection->ClosesWithin(kStopLagMs));
+  }
+
   void TestRequestOfACallerThatHasLeftIsNotPassedOn() {
     AddEchoTarget();
     {
