Let a failed process end although nobody reads its output

The handler now waits 50 ms for room and leaves the line out.

The test no longer forks a process with threads: a child mode of the test program ends in the way that is wanted. TestFailedProcessEndsAlthoughNobodyReadsItsOutput.

--- a/src/base/failure_report.cc
+++ b/src/base/failure_report.cc
@@ -8,6 +8,7 @@
 #include <exception>
 #include <string_view>
 
+#include <poll.h>
 #include <unistd.h>
 #include <ctime>
 
@@ -19,6 +20,7 @@
 
 constexpr std::array kFatalSignals = {SIGABRT, SIGBUS, SIGFPE, SIGILL, SIGSEGV};
 constexpr size_t kMaximumLineBytes = 512;
+constexpr int kMaximumWriteWaitMs = 50;
 constexpr int64_t kMillisPerSecond = 1000;
 constexpr int64_t kNanosPerMilli = 1'000'000;
 
@@ -63,9 +65,13 @@
        << " stopping=" << (state.is_stopping ? "true" : "false") << " error=\""
        << g_exception_text.data() << "\"\n";
   WriteQueuedLogLines();
-  const ssize_t ignored =
-      write(STDOUT_FILENO, line.Text().data(), line.Text().size());
-  static_cast<void>(ignored);
+  // A reader that has stalled must not keep the process from ending.
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  if (poll(&output, 1, kMaximumWriteWaitMs) > 0) {
+    const ssize_t ignored =
+        write(STDOUT_FILENO, line.Text().data(), line.Text().size());
+    static_cast<void>(ignored);
+  }
   // The handler has been reset, so the signal now ends the process.
   raise(signal);
 }
--- a/src/base/failure_report_test.cc
+++ b/src/base/failure_report_test.cc
@@ -1,16 +1,12 @@
 #include <array>
 #include <csignal>
 #include <cstdlib>
-#include <functional>
-#include <stdexcept>
 #include <string>
-#include <thread>
 
+#include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "base/failure_report.h"
-#include "base/log.h"
 #include "tests/test_macros.h"
 
 namespace daisypond::base {
@@ -23,25 +19,43 @@
   std::string output;
 };
 
-ChildEnd RunInChild(const std::function<void()>& body) {
+/// Writes to a pipe until it is full.
+void FillPipe(int fd) {
+  fcntl(fd, F_SETFL, O_NONBLOCK);
+  const std::array<char, 4096> buf{};
+  while (write(fd, buf.data(), buf.size()) > 0) {
+  }
+  fcntl(fd, F_SETFL, 0);
+}
+
+/// Whether the child's output is read.
+enum class Reader : uint8_t { kReads, kStalls };
+
+/// Runs this program as a child that ends in the way that tests/main.cc knows
+/// by this name. A child that does not end is killed after kMaximumSeconds.
+ChildEnd RunChild(const char* way, Reader reader) {
+  constexpr unsigned kMaximumSeconds = 5;
   std::array<int, 2> fds{};
   EXPECT_EQ(0, pipe(fds.data()));
+  if (reader == Reader::kStalls) {
+    FillPipe(fds[1]);
+  }
   const pid_t pid = fork();
   if (pid == 0) {
     dup2(fds[1], STDOUT_FILENO);
-    InstallFailureReport();
-    body();
-    _exit(0);
+    alarm(kMaximumSeconds);
+    execl("/proc/self/exe", "daisypond-tests", "--end-by", way, nullptr);
+    _exit(1);
   }
   close(fds[1]);
   ChildEnd end;
   char c = 0;
-  while (read(fds[0], &c, 1) == 1) {
+  while (reader == Reader::kReads && read(fds[0], &c, 1) == 1) {
     end.output += c;
   }
-  close(fds[0]);
   int status = 0;
   waitpid(pid, &status, 0);
+  close(fds[0]);
   end.signal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
   return end;
 }
@@ -54,16 +68,12 @@
   CPPUNIT_TEST_SUITE(FailureReportTest);
   CPPUNIT_TEST(TestAbortIsReportedWithOpenRequests);
   CPPUNIT_TEST(TestUnhandledExceptionOfAThreadIsReported);
+  CPPUNIT_TEST(TestFailedProcessEndsAlthoughNobodyReadsItsOutput);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void TestAbortIsReportedWithOpenRequests() {
-    const ChildEnd end = RunInChild([] {
-      CurrentProcessState().is_stopping = true;
-      const OpenRequest open_request;
-      Log(LogLevel::kError, "last_line");
-      std::abort();
-    });
+    const ChildEnd end = RunChild("abort", Reader::kReads);
     EXPECT_EQ(SIGABRT, end.signal);
     EXPECT(Contains(end.output, "event=last_line"));
     EXPECT(Contains(end.output, "event=process_failed signal=6"));
@@ -71,12 +81,14 @@
   }
 
   void TestUnhandledExceptionOfAThreadIsReported() {
-    const ChildEnd end = RunInChild([] {
-      std::thread([] { throw std::runtime_error("no room"); }).join();
-    });
+    const ChildEnd end = RunChild("exception", Reader::kReads);
     EXPECT_EQ(SIGABRT, end.signal);
     EXPECT(Contains(end.output, "error=\"no room\""));
   }
+
+  void TestFailedProcessEndsAlthoughNobodyReadsItsOutput() {
+    EXPECT_EQ(SIGABRT, RunChild("abort", Reader::kStalls).signal);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FailureReportTest);
