Let nothing but the failed step end with an exception

A complete answer now stays whole. - The verdict after an exception said keep-alive, and the session closed: the next request on the connection was dropped. It says close now; the test looks at it. - A slot that could not be given back was given back again, and no verdict was written. - An exception in a plain handler ended the process, and one in the drain left Stop() waiting until the kill. The handler or the step ends, task_failed is logged, and the rest goes on.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -95,11 +95,16 @@
   /// Ends the request after Run() has thrown an exception. The caller gets a
   /// verdict, unless bytes of an answer have been written.
   net::asio::awaitable<ConnectionReuse> FailAfterException(std::string error) {
+    caller_->StopDisconnectWatch();
     base::Log(base::LogLevel::kError, "request_failed",
               {{"request", request_info_.id}, {"error", error}});
-    caller_->StopDisconnectWatch();
     EndBrokenSend();
+    if (is_answer_complete_) {
+      co_return ConnectionReuse::kClose;
+    }
     if (is_answer_begun_) {
+      forwarder_->metrics->Add(base::Counter::kStreamsCut);
+      LogAnswer(0, base::Reason::kInternal);
       caller_->Socket().Reset();
       co_return ConnectionReuse::kClose;
     }
@@ -108,7 +113,7 @@
         send_tracker_ ? send_tracker_->Execution() : base::Execution::kNotRun;
     verdict.reason = base::Reason::kInternal;
     verdict.detail = "this instance has failed to serve the request";
-    co_await AnswerVerdict(verdict);
+    co_await AnswerVerdict(verdict, ConnectionReuse::kClose);
     co_return ConnectionReuse::kClose;
   }
 
@@ -423,11 +428,11 @@
 
   /// Gives back the slot of the last send, if it had one.
   void ReturnSlot(SlotOutcome outcome) {
-    if (slot_ && forwarder_->return_slot) {
-      slot_->outcome = outcome;
-      forwarder_->return_slot(*slot_);
+    std::optional<SlotReturn> slot = std::exchange(slot_, std::nullopt);
+    if (slot && forwarder_->return_slot) {
+      slot->outcome = outcome;
+      forwarder_->return_slot(*slot);
     }
-    slot_.reset();
   }
 
   /// Ends the use of the target's slot by a send. Reports also a rejection of a
@@ -1293,6 +1298,7 @@
     is_answer_begun_ = true;
     const bool is_written =
         co_await caller_->Write(text, Clock::Now() + kWriteTimeout);
+    is_answer_complete_ = is_written;
     if (!is_written) {
       LogCallerGone("answer_unwritten");
     }
@@ -1696,6 +1702,7 @@
   bool is_header_written_ = false;
   /// True when the write of an answer has begun.
   bool is_answer_begun_ = false;
+  bool is_answer_complete_ = false;
   Millis last_write_at_;
   Millis longest_gap_;
 };
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -1015,7 +1015,10 @@
     });
     Caller caller(instance_->Port());
     caller.SendRequest("POST", "/once/a", "r1", "Content-Length: 0\r\n");
-    EXPECT_EQ(std::string("502"), ReadStatus(caller));
+    const std::string header =
+        caller.connection->ReadUntil("\r\n\r\n", kReadTimeoutMs);
+    EXPECT(header.starts_with("HTTP/1.1 502 "));
+    EXPECT_EQ(std::string("close"), HeaderField(header, "Connection"));
     EXPECT(caller.connection->ClosesWithin(kStopLagMs));
   }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -187,8 +187,10 @@
       peer_link_->FetchFromPeer();
       peer_link_->AnswerHeldRequests();
     });
-    traffic_thread_ = std::thread([this] { traffic_.run(); });
-    control_thread_ = std::thread([this] { control_.run(); });
+    traffic_thread_ =
+        std::thread([this] { net::RunHandlers(traffic_, "traffic"); });
+    control_thread_ =
+        std::thread([this] { net::RunHandlers(control_, "control"); });
     return true;
   }
 
@@ -659,35 +661,45 @@
   /// were closed with a request open.
   asio::awaitable<void> Drain(std::promise<size_t>* drained) {
     asio::steady_timer timer(traffic_);
-    bool are_requests_ended = false;
     bool is_drained = false;
-    std::optional<StopPhase> logged_phase;
     while (!is_drained) {
       timer.expires_after(kDrainPollPeriod.ToChrono());
       co_await timer.async_wait(net::kAsTuple);
       const base::Millis now = base::Clock::Now();
-      const StopPhase phase = stop_schedule_.PhaseAt(now);
-      if (std::exchange(logged_phase, phase) != phase) {
-        LogStopPhase(phase, now);
-      }
-      // Answers to requests that have just been ended get one more period, also
-      // if the process has not run for a while.
-      is_drained = phase == StopPhase::kClosing && are_requests_ended;
-      if (phase != StopPhase::kLeavingRotation) {
-        CloseIdleSessions();
-      }
-      if (phase == StopPhase::kEnding || phase == StopPhase::kClosing) {
-        EndRequests();
-        are_requests_ended = true;
-      }
-      if (sessions_.empty() && tunnel_server_.OpenTunnels() == 0 &&
-          stop_schedule_.MayEndEarly(now)) {
-        is_drained = is_drained || CloseAcceptor() == 0;
+      try {
+        is_drained = DrainOnce(now);
+      } catch (...) {
+        // Stop() waits for the end of the drain.
+        net::LogTaskFailed("drain", std::current_exception());
+        is_drained = stop_schedule_.PhaseAt(now) == StopPhase::kClosing;
       }
     }
     drained->set_value(CloseSessions());
   }
 
+  /// Does what the present phase of the stop wants. Returns true when the
+  /// process may end.
+  bool DrainOnce(base::Millis now) {
+    const StopPhase phase = stop_schedule_.PhaseAt(now);
+    if (std::exchange(logged_stop_phase_, phase) != phase) {
+      LogStopPhase(phase, now);
+    }
+    // Answers to requests that have just been ended get one more period, also
+    // if the process has not run for a while.
+    const bool has_ended = phase == StopPhase::kClosing && are_requests_ended_;
+    if (phase != StopPhase::kLeavingRotation) {
+      CloseIdleSessions();
+    }
+    if (phase == StopPhase::kEnding || phase == StopPhase::kClosing) {
+      EndRequests();
+      are_requests_ended_ = true;
+    }
+    const bool is_quiet = sessions_.empty() &&
+                          tunnel_server_.OpenTunnels() == 0 &&
+                          stop_schedule_.MayEndEarly(now);
+    return has_ended || (is_quiet && CloseAcceptor() == 0);
+  }
+
   void LogStopPhase(StopPhase phase, base::Millis now) const {
     base::Log(base::LogLevel::kInfo, "stop_phase",
               {{"phase", kStopPhaseNames.NameOf(phase)},
@@ -776,6 +788,8 @@
   std::map<uint64_t, std::shared_ptr<Session>> sessions_;
   uint64_t last_session_id_ = 0;
   StopSchedule stop_schedule_;
+  std::optional<StopPhase> logged_stop_phase_;
+  bool are_requests_ended_ = false;
   /// True when all connections of callers have been closed for good.
   bool is_closed_ = false;
   std::atomic<bool> is_ready_ = false;
--- a/src/net/spawn.cc
+++ b/src/net/spawn.cc
@@ -1,5 +1,7 @@
 #include "net/spawn.h"
 
+#include "base/log.h"
+
 namespace daisypond::net {
 
 std::string DescribeException(const std::exception_ptr& exception) {
@@ -12,4 +14,19 @@
   }
 }
 
+void LogTaskFailed(std::string_view name, const std::exception_ptr& exception) {
+  base::Log(base::LogLevel::kError, "task_failed",
+            {{"task", name}, {"error", DescribeException(exception)}});
+}
+
+void RunHandlers(boost::asio::io_context& context, std::string_view name) {
+  while (!context.stopped()) {
+    try {
+      context.run();
+    } catch (...) {
+      LogTaskFailed(name, std::current_exception());
+    }
+  }
+}
+
 }  // namespace daisypond::net
