--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -95,11 +95,16 @@
   /// Ends the request after Run() has thrown an exception. The caller gets a
   /// verdict, unless bytes of an answer have been written.
   net::asio::awaitable<ConnectionReuse> FailAfterException(std::string error) {
+    caller_->StopDisconnectWatch();
     base::Log(base::LogLevel::kError, "request_failed",
               {{"request", request_info_.id}, {"error", error}});
-    caller_->StopDisconnectWatch();
     EndBrokenSend();
+    if (is_answer_complete_) {
+      co_return ConnectionReuse::kClose;
+    }
     if (is_answer_begun_) {
+      forwarder_->metrics->Add(base::Counter::kStreamsCut);
+      LogAnswer(0, base::Reason::kInternal);
       caller_->Socket().Reset();
       co_return ConnectionReuse::kClose;
     }
@@ -108,7 +113,7 @@
         send_tracker_ ? send_tracker_->Execution() : base::Execution::kNotRun;
     verdict.reason = base::Reason::kInternal;
     verdict.detail = "this instance has failed to serve the request";
-    co_await AnswerVerdict(verdict);
+    co_await AnswerVerdict(verdict, ConnectionReuse::kClose);
     co_return ConnectionReuse::kClose;
   }
 
@@ -423,11 +428,11 @@
 
   /// Gives back the slot of the last send, if it had one.
   void ReturnSlot(SlotOutcome outcome) {
-    if (slot_ && forwarder_->return_slot) {
-      slot_->outcome = outcome;
-      forwarder_->return_slot(*slot_);
+    std::optional<SlotReturn> slot = std::exchange(slot_, std::nullopt);
+    if (slot && forwarder_->return_slot) {
+      slot->outcome = outcome;
+      forwarder_->return_slot(*slot);
     }
-    slot_.reset();
   }
 
   /// Ends the use of the target's slot by a send. Reports also a rejection of a
@@ -659,10 +664,7 @@
   net::asio::awaitable<ConnectionReuse> FailRequest(base::Reason reason) {
     ReturnSlot(SlotOutcome::kUnused);
     if (is_caller_gone_) {
-      forwarder_->metrics->Add(base::Counter::kCallersGone);
-      LogCallerGone("caller_gone");
-      LogAnswer(0, base::Reason::kCallerGone);
-      co_return ConnectionReuse::kClose;
+      co_return co_await EndForGoneCaller();
     }
     if (is_ended_for_stop_) {
       reason = base::Reason::kStopping;
@@ -695,6 +697,24 @@
     co_return co_await AnswerVerdict(verdict);
   }
 
+  /// Ends the request of a caller that has ended its data. If no answer has
+  /// begun, the caller gets a verdict: it may have closed only its own
+  /// direction of the connection.
+  net::asio::awaitable<ConnectionReuse> EndForGoneCaller() {
+    forwarder_->metrics->Add(base::Counter::kCallersGone);
+    LogCallerGone("caller_gone");
+    if (is_answer_begun_ || !caller_->MayStillRead()) {
+      LogAnswer(0, base::Reason::kCallerGone);
+      co_return ConnectionReuse::kClose;
+    }
+    base::Verdict verdict;
+    verdict.execution = send_tracker_->Execution();
+    verdict.reason = base::Reason::kCallerGone;
+    verdict.detail = "the caller has ended its data";
+    co_await AnswerVerdict(verdict, ConnectionReuse::kClose);
+    co_return ConnectionReuse::kClose;
+  }
+
   /// Returns the Retry-After value when targets have no permits left. Spread
   /// out, so that the refused callers do not return together.
   Millis RetryAfterForLimit() const {
@@ -897,6 +917,12 @@
 
   net::asio::awaitable<SendResult> SendAndReadAnswer(const Placement& placement,
                                                      base::Reason reason) {
+    // The watch reports nothing while this thread reads and sends.
+    if (caller_->HasDisconnected()) {
+      is_caller_gone_ = true;
+      co_return SendResult{SendOutcome::kNotSent, base::Reason::kCallerGone,
+                           std::nullopt};
+    }
     const std::shared_ptr<TargetConnection> connection =
         co_await OpenConnection(placement);
     LogSend(placement, reason, connection.get());
@@ -1272,6 +1298,7 @@
     is_answer_begun_ = true;
     const bool is_written =
         co_await caller_->Write(text, Clock::Now() + kWriteTimeout);
+    is_answer_complete_ = is_written;
     if (!is_written) {
       LogCallerGone("answer_unwritten");
     }
@@ -1465,10 +1492,14 @@
   }
 
   net::asio::awaitable<ConnectionReuse> AnswerVerdict(base::Verdict verdict) {
+    return AnswerVerdict(std::move(verdict), ChooseConnectionReuse());
+  }
+
+  net::asio::awaitable<ConnectionReuse> AnswerVerdict(base::Verdict verdict,
+                                                      ConnectionReuse reuse) {
     forwarder_->metrics->AddRefusal(verdict.reason);
     LogAnswer(static_cast<unsigned>(HttpStatusForVerdict(verdict)),
               verdict.reason);
-    const ConnectionReuse reuse = ChooseConnectionReuse();
     co_return co_await WriteToCaller(FormatVerdictResponse(verdict, reuse),
                                      reuse);
   }
@@ -1671,6 +1702,7 @@
   bool is_header_written_ = false;
   /// True when the write of an answer has begun.
   bool is_answer_begun_ = false;
+  bool is_answer_complete_ = false;
   Millis last_write_at_;
   Millis longest_gap_;
 };
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -274,6 +274,9 @@
     }
   }
 
+  /// Closes the caller's own direction of the connection.
+  void EndData() const { shutdown(fd_, SHUT_WR); }
+
   void SendRequest(const std::string& method,
                    const std::string& path,
                    const std::string& id,
@@ -303,6 +306,8 @@
   CPPUNIT_TEST(TestExtraBytesPreventConnectionReuse);
   CPPUNIT_TEST(TestErrorAnswerToRunOnceIsRelayed);
   CPPUNIT_TEST(TestCallerDisconnectClosesTargetConnection);
+  CPPUNIT_TEST(TestRequestOfACallerThatHasLeftIsNotPassedOn);
+  CPPUNIT_TEST(TestCallerThatEndsItsDataEarlyGetsAVerdict);
   CPPUNIT_TEST(TestStreamResumesAfterEngineLoss);
   CPPUNIT_TEST(TestStreamResumesFromCopy);
   CPPUNIT_TEST(TestStreamGoesOnOnlyAtTheVersionThatBeganIt);
@@ -561,6 +566,32 @@
     EXPECT(is_closed);
   }
 
+  void TestCallerThatEndsItsDataEarlyGetsAVerdict() {
+    AddTarget([](LoopbackConnection& connection, const std::string&) {
+      return connection.ReadUntil("", kReadTimeoutMs).empty();
+    });
+    Caller caller(instance_->Port());
+    caller.SendRequest("GET", "/safe/a", "r1");
+    while (TotalRequests() == 0) {
+      std::this_thread::yield();
+    }
+    caller.EndData();
+    EXPECT_EQ(std::string("502"), ReadStatus(caller));
+    EXPECT(caller.connection->ClosesWithin(kStopLagMs));
+  }
+
+  void TestRequestOfACallerThatHasLeftIsNotPassedOn() {
+    AddEchoTarget();
+    {
+      Caller caller(instance_->Port());
+      EXPECT_EQ(std::string("200"), StatusOfNext(caller));
+      instance_->Stall(kStall);
+      caller.SendRequest("GET", "/safe/a", "r1");
+    }
+    EXPECT_EQ(std::string("200"), RequestStatus("POST", "/once/a"));
+    EXPECT_EQ(size_t{2}, TotalRequests());
+  }
+
   void TestStreamResumesAfterEngineLoss() {
     AddEngines(
         3, [this](LoopbackConnection& connection, const std::string& header) {
@@ -984,7 +1015,10 @@
     });
     Caller caller(instance_->Port());
     caller.SendRequest("POST", "/once/a", "r1", "Content-Length: 0\r\n");
-    EXPECT_EQ(std::string("502"), ReadStatus(caller));
+    const std::string header =
+        caller.connection->ReadUntil("\r\n\r\n", kReadTimeoutMs);
+    EXPECT(header.starts_with("HTTP/1.1 502 "));
+    EXPECT_EQ(std::string("close"), HeaderField(header, "Connection"));
     EXPECT(caller.connection->ClosesWithin(kStopLagMs));
   }
 
