--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -15,6 +15,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/name_table.h"
 #include "catalog/catalog.h"
 #include "catalog/row.h"
 #include "catalog/table_version.h"
@@ -40,6 +41,12 @@
   catalog::TableVersion table_version;
 };
 
+/// From where an instance got its configuration.
+enum class ConfigurationOrigin : uint8_t { kStore, kPeer };
+
+inline constexpr base::NameTable<ConfigurationOrigin, 2>
+    kConfigurationOriginNames("store", "peer");
+
 /// Maintains the current catalog from rows of the table service and from the
 /// catalogs of peers, and publishes each change. Runs on the control thread.
 /// `Format` names the tables and decodes their rows.
@@ -61,14 +68,16 @@
   void OnConfigurationRows(const std::vector<catalog::Row>& rows) {
     for (const catalog::Row& it : rows) {
       if (it.key == Format::kConfigurationKey && !it.is_removed) {
-        OnConfigurationText(it.value);
+        OnConfigurationText(it.value, ConfigurationOrigin::kStore);
       }
     }
   }
 
   /// Replaces the current configuration unless `text` can't be decoded or is
   /// not newer.
-  void OnConfigurationText(const std::string& text) {
+  void OnConfigurationText(const std::string& text,
+                           ConfigurationOrigin origin) {
+    const base::Millis began_at = base::Clock::Now();
     auto decoded = Format::DecodeConfiguration(text);
     if (!decoded) {
       metrics_->Add(base::Counter::kConfigurationsUnreadable);
@@ -89,7 +98,10 @@
               {{"version", ConfigurationVersion()},
                {"routes", catalog_.configuration->routes.size()},
                {"services", catalog_.configuration->services.size()},
-               {"keys", catalog_.configuration->workspaces.size()}});
+               {"keys", catalog_.configuration->workspaces.size()},
+               {"origin", kConfigurationOriginNames.NameOf(origin)},
+               {"bytes", text.size()},
+               {"decode_ms", (base::Clock::Now() - began_at).count}});
     on_catalog_(catalog_);
   }
 
@@ -227,7 +239,7 @@
   /// they are younger. Returns whether the targets were adopted.
   bool OnPeerCatalog(const PeerCatalog& peer) {
     if (!peer.configuration.empty()) {
-      OnConfigurationText(peer.configuration);
+      OnConfigurationText(peer.configuration, ConfigurationOrigin::kPeer);
     }
     const std::optional<base::Millis> age = TargetsAge();
     const bool is_newer =
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -465,9 +465,16 @@
       PublishStreamBases();
     }
     peer_link_->AnswerHeldRequests();
-    asio::post(traffic_, [this, next] {
+    asio::post(traffic_, [this, next, published_at = base::Clock::Now()] {
+      const bool is_new_configuration =
+          next.configuration != forwarder_.catalog.configuration;
       forwarder_.Apply(next);
       is_ready_ = forwarder_.IsReady();
+      if (is_new_configuration) {
+        base::Log(base::LogLevel::kInfo, "configuration_in_force",
+                  {{"version", forwarder_.catalog.configuration->version},
+                   {"publish_ms", (base::Clock::Now() - published_at).count}});
+      }
     });
   }
 
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -228,16 +228,16 @@
   }
 
   void TestOlderConfigurationIsIgnored() {
-    source_->OnConfigurationText("7");
-    source_->OnConfigurationText("5");
-    source_->OnConfigurationText("7");
+    source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
+    source_->OnConfigurationText("5", ConfigurationOrigin::kStore);
+    source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
     EXPECT_EQ(uint64_t{7}, source_->ConfigurationVersion());
     EXPECT_EQ(1, publish_count_);
   }
 
   void TestUnreadableConfigurationIsRejected() {
-    source_->OnConfigurationText("7");
-    source_->OnConfigurationText("?");
+    source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
+    source_->OnConfigurationText("?", ConfigurationOrigin::kStore);
     EXPECT_EQ(uint64_t{7}, source_->ConfigurationVersion());
     EXPECT_EQ(int64_t{1},
               metrics_.Value(base::Counter::kConfigurationsUnreadable));
@@ -255,7 +255,7 @@
   /// configuration to each of them.
   void TestConfigurationIsFetchedFromPeersOnlyDuringOutage() {
     EXPECT(source_->NeedsConfigurationFromPeers());
-    source_->OnConfigurationText("7");
+    source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
     source_->OnConfigurationTableAnswered();
     EXPECT(!source_->NeedsConfigurationFromPeers());
     source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, {1});
@@ -269,7 +269,7 @@
   }
 
   void TestPeerTargetsOfALaterTableVersionAreAdopted() {
-    source_->OnConfigurationText("7");
+    source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
     source_->OnTargetTableAnswered({5});
     source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, {5});
     source_->OnConfigurationTableAnswered();
@@ -291,7 +291,7 @@
   }
 
   void TestTargetThatLeftWhileOthersWereServedDoesNotComeBack() {
-    source_->OnConfigurationText("7");
+    source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
     source_->OnTargetTableAnswered({5});
     source_->OnTargetsListed({}, {5});
     source_->OnTargetTableUnavailable();
@@ -311,7 +311,7 @@
   }
 
   void TestTargetsAreNotReplacedByThoseOfAnEarlierTableVersion() {
-    source_->OnConfigurationText("7");
+    source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
     source_->OnTargetTableAnswered({5});
     source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, {5});
     source_->OnTargetTableAnswered({9});
@@ -388,7 +388,7 @@
   /// The table service lists `rows`.
   void Read(const std::vector<catalog::Row>& rows,
             catalog::TableVersion version) {
-    source_->OnConfigurationText("7");
+    source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
     source_->OnTargetTableAnswered(version);
     source_->OnTargetsListed(rows, version);
   }
--- a/src/net/http_call_client.cc
+++ b/src/net/http_call_client.cc
@@ -50,6 +50,7 @@
     co_return tl::unexpected(has_timed_out ? HttpCallError::kTimedOut
                                            : HttpCallError::kUnreachable);
   }
+  received_bytes_ = 0;
   socket_->SetDeadline(deadline);
   const auto [write_ec, written] =
       co_await bhttp::async_write(socket_->Raw(), request, kAsTuple);
@@ -60,6 +61,7 @@
   parser.body_limit(kMaximumResponseBytes);
   const auto [ec, n] =
       co_await bhttp::async_read(socket_->Raw(), buffer_, parser, kAsTuple);
+  received_bytes_ = n;
   if (ec) {
     co_return tl::unexpected(CloseAfterError());
   }
--- a/src/net/http_call_client.h
+++ b/src/net/http_call_client.h
@@ -1,6 +1,7 @@
 #ifndef DAISYPOND_NET_HTTP_CALL_CLIENT_H_
 #define DAISYPOND_NET_HTTP_CALL_CLIENT_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -42,6 +43,10 @@
   asio::awaitable<tl::expected<HttpResponse, HttpCallError>>
   Post(const std::string& path, std::string body, base::Millis timeout);
 
+  /// Bytes of the response to the last request that have been received, also
+  /// when the call has failed.
+  uint64_t ReceivedBytes() const { return received_bytes_; }
+
  private:
   using Request = bhttp::request<bhttp::string_body>;
 
@@ -58,6 +63,7 @@
   std::string address_;
   std::unique_ptr<TimedSocket> socket_;
   boost::beast::flat_buffer buffer_;
+  uint64_t received_bytes_ = 0;
 };
 
 }  // namespace daisypond::net
