Judge a read of the table service by its progress

Callers saw revoked keys served after the bound on a site whose configuration is large. A call had 1.5 s for its answer, 1 s after a wait, whatever it transfers: over a narrow link it was given up in the middle of the answer, which had used the link in vain, and began anew (seen in the log of meta/large_configuration_test.py: 1,802,403 bytes in 3,250 ms, then 819,363 and 852,131 bytes in 1,500 ms, each given up).

An answer that keeps coming at 64 KB/s without a pause of 1 s is now read to its end. One that stops or brings a few bytes now and then is given up as before.

--- a/src/net/http_call_client.cc
+++ b/src/net/http_call_client.cc
@@ -15,9 +15,18 @@
 // encoding.
 constexpr uint64_t kMaximumResponseBytes = 4u << 20;
 constexpr int kHttp11 = 11;
+constexpr uint64_t kMillisPerSecond = 1000;
 
 }  // namespace
 
+base::Millis ResponseDeadline(base::Millis deadline,
+                              uint64_t received,
+                              base::Millis now) {
+  const base::Millis earned{static_cast<int64_t>(received * kMillisPerSecond /
+                                                 kMinimumBytesPerSecond)};
+  return std::max(deadline, std::min(deadline + earned, now + kMaximumPause));
+}
+
 HttpCallClient::HttpCallClient(const asio::any_io_executor& executor,
                                std::string address)
     : executor_(executor),
@@ -42,6 +51,27 @@
   return has_timed_out ? HttpCallError::kTimedOut : HttpCallError::kBroken;
 }
 
+asio::awaitable<ErrorCode> HttpCallClient::ReadResponse(
+    bhttp::response_parser<bhttp::string_body>* parser,
+    base::Millis deadline) {
+  base::Millis present = deadline;
+  while (!parser->is_done()) {
+    const auto [ec, n] = co_await bhttp::async_read_some(
+        socket_->Raw(), buffer_, *parser, kAsTuple);
+    if (ec) {
+      co_return ec;
+    }
+    received_bytes_ += n;
+    const base::Millis next =
+        ResponseDeadline(deadline, received_bytes_, base::Clock::Now());
+    if (next > present) {
+      socket_->SetDeadline(next);
+      present = next;
+    }
+  }
+  co_return ErrorCode();
+}
+
 asio::awaitable<tl::expected<HttpResponse, HttpCallError>>
 HttpCallClient::SendOnce(const Request& request, base::Millis deadline) {
   if (socket_ == nullptr && !co_await OpenConnection(deadline)) {
@@ -59,10 +89,7 @@
   }
   bhttp::response_parser<bhttp::string_body> parser;
   parser.body_limit(kMaximumResponseBytes);
-  const auto [ec, n] =
-      co_await bhttp::async_read(socket_->Raw(), buffer_, parser, kAsTuple);
-  received_bytes_ = n;
-  if (ec) {
+  if (co_await ReadResponse(&parser, deadline)) {
     co_return tl::unexpected(CloseAfterError());
   }
   socket_->ClearDeadline();
