Read rows as they are where their changes come faster than they are read

Callers saw revoked keys served after the bound. A call for changes returns each version of the configuration since the last read; an instance that falls behind transfers as many configurations as it missed and falls further behind while it does.

Of several versions only the last is decoded. A failed connect no longer logs the bytes of the call before it.

--- a/src/catalog/table_watcher.h
+++ b/src/catalog/table_watcher.h
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -20,8 +22,18 @@
 
 namespace daisypond::catalog {
 
+/// How a watcher reads what it has missed.
+enum class CatchUp : uint8_t {
+  /// Reads each change since the last read.
+  kChanges,
+  /// Reads the rows as they are, for a table of few large rows that change
+  /// often: the changes since the last read hold each row several times.
+  kRows,
+};
+
 struct TableWatcherOptions {
   std::string table;
+  CatchUp catch_up = CatchUp::kChanges;
   /// Interval between calls of next_wait() while next_wait() returns no value.
   base::Millis inactive_poll_period{100};
   /// Delay between a change and the next call, so that one call reads all
@@ -39,6 +51,8 @@
   /// of a change until its wait had passed.
   base::Millis cautious_wait{300};
   base::Millis cautious_period{5000};
+  /// With CatchUp::kRows, the rows are read after an outage of this length.
+  base::Millis maximum_missed_time{1000};
 };
 
 /// Callbacks of a TableWatcher, run on its thread.
@@ -97,6 +111,10 @@
       co_return options_.inactive_poll_period;
     }
     called_at_ = base::Clock::Now();
+    if (options_.catch_up == CatchUp::kRows &&
+        MissedTime() >= options_.maximum_missed_time) {
+      is_listed_ = false;
+    }
     if (!is_listed_) {
       co_return co_await ListAll();
     }
@@ -122,6 +140,10 @@
       co_return base::Millis{0};
     }
     callbacks_.on_changed(result->rows, version);
+    if (options_.catch_up == CatchUp::kRows && HasRepeatedKey(result->rows)) {
+      // The rows change faster than they are read.
+      is_listed_ = false;
+    }
     co_return options_.change_batch_delay;
   }
 
@@ -176,6 +198,18 @@
     co_return base::Millis{0};
   }
 
+  /// Time since the first of the calls that have failed since the last success.
+  base::Millis MissedTime() const {
+    return is_unavailable_ ? base::Clock::Now() - lost_at_ : base::Millis{0};
+  }
+
+  static bool HasRepeatedKey(const std::vector<Row>& rows) {
+    std::set<std::string_view> keys;
+    return std::any_of(rows.begin(), rows.end(), [&](const Row& it) {
+      return !keys.insert(it.key).second;
+    });
+  }
+
   /// A response that states no era is taken to be of the current one.
   TableVersion WithEra(TableVersion version) const {
     version.era = version.era == 0 ? version_.era : version.era;
--- a/src/catalog/table_watcher_test.cc
+++ b/src/catalog/table_watcher_test.cc
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <map>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,8 +27,8 @@
              size_t last_call)
       : context_(context), errors_(std::move(errors)), last_call_(last_call) {}
 
-  /// Lets call `call` return a change.
-  void AddChange(size_t call) { changes_.insert(call); }
+  /// Lets call `call` return `n` changes of one row.
+  void AddChange(size_t call, size_t n = 1) { changes_[call] = n; }
 
   boost::asio::awaitable<TableReadResult> ListRows(std::string, std::string) {
     ++list_count;
@@ -50,10 +49,7 @@
     if (error != errors_.end()) {
       co_return tl::unexpected(error->second);
     }
-    co_return RowPage{
-        changes_.contains(call) ? std::vector<Row>(1) : std::vector<Row>(),
-        false,
-        {version}};
+    co_return RowPage{std::vector<Row>(changes_[call]), false, {version}};
   }
 
   size_t list_count = 0;
@@ -62,7 +58,7 @@
  private:
   boost::asio::io_context* context_;
   std::map<size_t, TableReadError> errors_;
-  std::set<size_t> changes_;
+  std::map<size_t, size_t> changes_;
   size_t last_call_;
 };
 
@@ -73,6 +69,8 @@
   CPPUNIT_TEST(TestWaitsAreShortAfterTheHistoryWasLost);
   CPPUNIT_TEST(TestCallsDoNotWaitUntilTheTableServiceAnswersAgain);
   CPPUNIT_TEST(TestChangesOfAnOutageAreReadBeforeCallsWaitAgain);
+  CPPUNIT_TEST(TestRowsThatChangeFasterThanTheyAreReadAreListed);
+  CPPUNIT_TEST(TestRowsAreListedAfterAnOutage);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -117,6 +115,39 @@
     EXPECT_EQ(1, caught_up_count_);
   }
 
+  void TestRowsThatChangeFasterThanTheyAreReadAreListed() {
+    boost::asio::io_context context;
+    FakeReader reader(&context, {}, 3);
+    reader.AddChange(0, 1);
+    reader.AddChange(1, 2);
+    TableWatcherOptions options = kShortDelays;
+    Watch(&context, &reader, options);
+    EXPECT_EQ(size_t{1}, reader.list_count);
+
+    boost::asio::io_context second_context;
+    FakeReader second_reader(&second_context, {}, 3);
+    second_reader.AddChange(0, 1);
+    second_reader.AddChange(1, 2);
+    options.catch_up = CatchUp::kRows;
+    Watch(&second_context, &second_reader, options);
+    EXPECT_EQ(size_t{2}, second_reader.list_count);
+  }
+
+  void TestRowsAreListedAfterAnOutage() {
+    boost::asio::io_context context;
+    FakeReader reader(&context,
+                      {{1, TableReadError::kTimedOut},
+                       {2, TableReadError::kTimedOut},
+                       {3, TableReadError::kTimedOut}},
+                      4);
+    TableWatcherOptions options = kShortDelays;
+    options.catch_up = CatchUp::kRows;
+    options.initial_backoff = options.maximum_backoff = {40};
+    options.maximum_missed_time = {30};
+    Watch(&context, &reader, options);
+    EXPECT(reader.list_count > 1);
+  }
+
  private:
   inline static const TableWatcherOptions kShortDelays = {
       .table = "t",
--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -66,16 +66,19 @@
         on_returned_from_copy_(std::move(on_returned_from_copy)) {}
 
   void OnConfigurationRows(const std::vector<catalog::Row>& rows) {
-    for (const catalog::Row& it : rows) {
-      if (it.key == Format::kConfigurationKey && !it.is_removed) {
-        OnConfigurationText(it.value, ConfigurationOrigin::kStore);
+    // Several versions come together after a pause in reading. Only the last
+    // one that can be decoded takes effect.
+    for (auto it = rows.rbegin(); it != rows.rend(); ++it) {
+      if (it->key == Format::kConfigurationKey && !it->is_removed &&
+          OnConfigurationText(it->value, ConfigurationOrigin::kStore)) {
+        return;
       }
     }
   }
 
   /// Replaces the current configuration unless `text` can't be decoded or is
-  /// not newer.
-  void OnConfigurationText(const std::string& text,
+  /// not newer. Returns false if it can't be decoded.
+  bool OnConfigurationText(const std::string& text,
                            ConfigurationOrigin origin) {
     const base::Millis began_at = base::Clock::Now();
     auto decoded = Format::DecodeConfiguration(text);
@@ -84,11 +87,11 @@
       base::Log(base::LogLevel::kError, "configuration_unreadable",
                 {{"error", decoded.error().ToString()},
                  {"version_in_force", ConfigurationVersion()}});
-      return;
+      return false;
     }
     if (catalog_.configuration != nullptr &&
         decoded->version <= ConfigurationVersion()) {
-      return;
+      return true;
     }
     catalog_.configuration =
         std::make_shared<const catalog::Configuration>(std::move(*decoded));
@@ -103,6 +106,7 @@
                {"bytes", text.size()},
                {"decode_ms", (base::Clock::Now() - began_at).count}});
     on_catalog_(catalog_);
+    return true;
   }
 
   /// `version` is that of the table service when the rows were read.
--- a/src/net/http_call_client.cc
+++ b/src/net/http_call_client.cc
@@ -74,13 +74,13 @@
 
 asio::awaitable<tl::expected<HttpResponse, HttpCallError>>
 HttpCallClient::SendOnce(const Request& request, base::Millis deadline) {
+  received_bytes_ = 0;
   if (socket_ == nullptr && !co_await OpenConnection(deadline)) {
     const bool has_timed_out = socket_->HasTimedOut();
     socket_.reset();
     co_return tl::unexpected(has_timed_out ? HttpCallError::kTimedOut
                                            : HttpCallError::kUnreachable);
   }
-  received_bytes_ = 0;
   socket_->SetDeadline(deadline);
   const auto [write_ec, written] =
       co_await bhttp::async_write(socket_->Raw(), request, kAsTuple);
