Send configurations between instances as differences

Callers saw revoked keys served after the bound of 3 s, and instances that had been cut off used old versions for up to 12 s after the cut. Peers never sent a configuration over 32 KB to an instance that could read the table service, so that each of 60 instances read each version of 0.47 MB over its own link of 10 Mbit/s, at the same moment, and lists of targets waited behind it.

A peer now sends the text as a Zstandard frame with the receiver's text as prefix (90 bytes for a route more; the whole 18 KB of 405 KB), checked by a digest. Followers get it through their tree. An instance that has known of a newer version for 0.1 of the bound asks any member that has it, and a follower reads the table service after 0.3 of it instead of at once. Older builds get and send what they did. New package: libzstd-dev.

--- a/meta/common.sh
+++ b/meta/common.sh
@@ -6,7 +6,7 @@
 PACKAGES=(cmake ninja-build g++ clang-format clang-tidy curl python3
   libcivetweb-dev libgrpc++-dev libprotobuf-dev protobuf-compiler
   protobuf-compiler-grpc libboost1.81-dev libyaml-cpp-dev libcli11-dev
-  libfmt-dev libexpected-dev libcppunit-dev librapidcheck-dev libxxhash-dev
+  libfmt-dev libexpected-dev libcppunit-dev librapidcheck-dev libxxhash-dev libzstd-dev
   nlohmann-json3-dev libcurl4-openssl-dev libssl-dev openssl)
 
 # Installs the packages of PACKAGES that are missing on this machine.
--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -17,6 +17,7 @@
 #include "base/metrics.h"
 #include "base/name_table.h"
 #include "catalog/catalog.h"
+#include "catalog/configuration_history.h"
 #include "catalog/row.h"
 #include "catalog/table_version.h"
 #include "catalog/target_tracker.h"
@@ -28,6 +29,8 @@
 struct PeerCatalog {
   /// Encoded configuration. Empty unless it is newer than the receiver's.
   std::string configuration;
+  /// The same for a receiver that accepts it compressed.
+  catalog::CompressedText compressed_configuration;
   std::optional<catalog::Targets> targets;
   /// True when `targets` holds only the targets that were added or changed
   /// after the revision that the receiver has, and `removed` holds the ids of
@@ -95,7 +98,7 @@
     }
     catalog_.configuration =
         std::make_shared<const catalog::Configuration>(std::move(*decoded));
-    configuration_text_ = text;
+    configuration_history_.Add(text);
     metrics_->Add(base::Counter::kConfigurationChanges);
     base::Log(base::LogLevel::kInfo, "configuration",
               {{"version", ConfigurationVersion()},
@@ -242,9 +245,7 @@
   /// them. Targets of an older build, which names no version, are adopted if
   /// they are younger. Returns whether the targets were adopted.
   bool OnPeerCatalog(const PeerCatalog& peer) {
-    if (!peer.configuration.empty()) {
-      OnConfigurationText(peer.configuration, ConfigurationOrigin::kPeer);
-    }
+    OnPeerConfiguration(peer);
     const std::optional<base::Millis> age = TargetsAge();
     const bool is_newer =
         peer.table_version.number == 0 || table_version_.number == 0
@@ -320,10 +321,14 @@
     return catalog_.configuration == nullptr ? 0
                                              : catalog_.configuration->version;
   }
-  const std::string& ConfigurationText() const { return configuration_text_; }
+  const catalog::ConfigurationHistory& ConfigurationHistory() const {
+    return configuration_history_;
+  }
   const catalog::Catalog& Current() const { return catalog_; }
 
  private:
+  // A peer's configuration may not be larger than this when decompressed.
+  static constexpr size_t kMaximumConfigurationBytes = 16u << 20;
   // Maximum number of removed targets whose ids are kept, so that replies to
   // peers can list the removals.
   static constexpr size_t kMaximumRemovedTargets = 500;
@@ -331,6 +336,30 @@
   // have lost their entries in an outage of the table service.
   static constexpr base::Millis kOutagePause{3000};
 
+  /// A text that was compressed against another one than the current one is
+  /// ignored: the current one has changed since it was requested.
+  void OnPeerConfiguration(const PeerCatalog& peer) {
+    if (!peer.configuration.empty()) {
+      OnConfigurationText(peer.configuration, ConfigurationOrigin::kPeer);
+    }
+    const catalog::CompressedText& compressed = peer.compressed_configuration;
+    if (compressed.bytes.empty()) {
+      return;
+    }
+    const std::optional<std::string> text = configuration_history_.Decompress(
+        compressed, kMaximumConfigurationBytes);
+    if (text) {
+      OnConfigurationText(*text, ConfigurationOrigin::kPeer);
+    } else {
+      base::Log(
+          base::LogLevel::kInfo, "configuration_unusable",
+          {{"version_in_force", ConfigurationVersion()},
+           {"bytes", compressed.bytes.size()},
+           {"base", base::ToHex(compressed.base_digest)},
+           {"current", base::ToHex(configuration_history_.CurrentDigest())}});
+    }
+  }
+
   /// Orders `version` against that of the current targets. A version without an
   /// era is taken to be of the current one, but nothing orders it once the
   /// table service has returned from a copy: older builds do not notice that.
@@ -461,7 +490,7 @@
   std::function<void()> on_returned_from_copy_;
   catalog::TargetTracker target_tracker_;
   catalog::Catalog catalog_;
-  std::string configuration_text_;
+  catalog::ConfigurationHistory configuration_history_;
   // When the targets were last known to match the table service.
   base::Millis targets_confirmed_at_;
   // End of the latest pause between two confirmations that was longer than
--- a/src/gateway/catalog_tree.cc
+++ b/src/gateway/catalog_tree.cc
@@ -25,6 +25,8 @@
       direct_wait(std::min(Percent(bound, 75), kMaximumDirectWait)),
       configuration_wait(Percent(bound, 75)),
       peer_wait(Percent(bound, 10)),
+      configuration_patience(Percent(bound, 10)),
+      configuration_read_patience(Percent(bound, 30)),
       maximum_age(Percent(bound, 75)),
       retry_pause(bound) {}
 
--- a/src/gateway/catalog_tree.h
+++ b/src/gateway/catalog_tree.h
@@ -46,6 +46,12 @@
   base::Millis configuration_wait;
   /// How long a peer without a newer catalog delays its answer.
   base::Millis peer_wait;
+  /// An instance that has known of a newer configuration for longer asks peers
+  /// that have it, whatever its place among them.
+  base::Millis configuration_patience;
+  /// A follower that has known of one for longer reads the table service
+  /// itself.
+  base::Millis configuration_read_patience;
   /// A follower whose targets are older than this reads the table service
   /// itself.
   base::Millis maximum_age;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "gateway/catalog_source.h"
 #include "gateway/connection_plan.h"
 #include "gateway/forwarder_options.h"
+#include "gateway/known_configurations.h"
 #include "gateway/peer_link.h"
 #include "gateway/process_limits.h"
 #include "gateway/release_records.h"
@@ -217,6 +218,7 @@
                       [this] { peer_link_->ContactSeeds(); });
     StartPeriodicTask(PeerLink::kFetchPeriod, [this] {
       peer_link_->FetchFromPeer();
+      peer_link_->FetchConfiguration();
       peer_link_->AnswerHeldRequests();
     });
     traffic_thread_ =
@@ -276,10 +278,10 @@
   static constexpr base::Millis kStreamBasePeriod{500};
   // Losses come in groups; one message tells peers of several.
   static constexpr base::Millis kShareDelay{50};
-  // A larger configuration is read from the table service by each instance: the
-  // link of an instance that passes it on to several peers would be busy for
-  // longer than a stream may pause.
-  static constexpr size_t kMaximumPeerConfigurationBytes = 32u << 10;
+  // A larger message is not sent to a peer that can read the configuration from
+  // the table service: the link of an instance that sends it to several peers
+  // would be busy for longer than a stream may pause.
+  static constexpr size_t kMaximumPeerConfigurationBytes = 64u << 10;
   // At the first start of the system, instances find each other in this time
   // before they read the table service. One that has found no catalog after
   // kMaximumJoinTime reads it in any case.
@@ -429,12 +431,13 @@
   }
 
   /// The same for the configuration. A follower trusts its peers for it while
-  /// they confirm the targets: a connection of their reader that is silent ends
-  /// after the wait, within the bound.
+  /// they confirm the targets, and for a while after it has heard of a newer
+  /// one: a connection of their reader that is silent ends after the wait,
+  /// within the bound.
   std::optional<base::Millis> NextConfigurationLongPoll() const {
-    const bool is_newer_known =
-        newest_known_configuration_ > catalog_source_.ConfigurationVersion();
-    if (!is_newer_known && !NextTargetLongPoll()) {
+    const bool is_overdue =
+        NewerConfigurationKnownFor() >= times_.configuration_read_patience;
+    if (!is_overdue && !NextTargetLongPoll()) {
       return std::nullopt;
     }
     return peer_link_->Role() == CatalogRole::kFollower
@@ -442,12 +445,14 @@
                : times_.configuration_wait;
   }
 
+  base::Millis NewerConfigurationKnownFor() const {
+    return known_configurations_.KnownFor(
+        catalog_source_.ConfigurationVersion(), base::Clock::Now());
+  }
+
   void OnPeerConfigurationVersion(uint64_t version) {
-    if (version <= newest_known_configuration_) {
-      return;
-    }
-    newest_known_configuration_ = version;
-    if (version > catalog_source_.ConfigurationVersion()) {
+    if (known_configurations_.OnKnown(version, base::Clock::Now()) &&
+        version > catalog_source_.ConfigurationVersion()) {
       base::Log(base::LogLevel::kInfo, "newer_configuration_known",
                 {{"version", version},
                  {"in_force", catalog_source_.ConfigurationVersion()}});
@@ -540,6 +545,12 @@
     callbacks.configuration_version = [this] {
       return catalog_source_.ConfigurationVersion();
     };
+    callbacks.configuration_digest = [this] {
+      return catalog_source_.ConfigurationHistory().CurrentDigest();
+    };
+    callbacks.lacks_configuration = [this] {
+      return NewerConfigurationKnownFor() >= times_.configuration_patience;
+    };
     callbacks.catalog_newer_than =
         [this](const peer::FetchCatalogRequest& request) {
           return CatalogNewerThan(request);
@@ -593,11 +604,8 @@
 
   PeerCatalog CatalogNewerThan(const peer::FetchCatalogRequest& request) const {
     PeerCatalog catalog;
-    const std::string& text = catalog_source_.ConfigurationText();
-    if (catalog_source_.ConfigurationVersion() > request.known_version() &&
-        (!request.is_large_configuration_read() ||
-         text.size() <= kMaximumPeerConfigurationBytes)) {
-      catalog.configuration = text;
+    if (catalog_source_.ConfigurationVersion() > request.known_version()) {
+      AddConfiguration(request, &catalog);
     }
     const std::optional<base::Millis> age = catalog_source_.TargetsAge();
     if (age) {
@@ -608,6 +616,26 @@
     return catalog;
   }
 
+  void AddConfiguration(const peer::FetchCatalogRequest& request,
+                        PeerCatalog* into) const {
+    const catalog::ConfigurationHistory& history =
+        catalog_source_.ConfigurationHistory();
+    const size_t limit = request.is_large_configuration_read()
+                             ? kMaximumPeerConfigurationBytes
+                             : SIZE_MAX;
+    if (!request.accepts_compressed_configuration()) {
+      if (history.Current().size() <= limit) {
+        into->configuration = history.Current();
+      }
+      return;
+    }
+    const catalog::CompressedText& text =
+        history.CompressFor(request.configuration_digest());
+    if (text.bytes.size() <= limit) {
+      into->compressed_configuration = text;
+    }
+  }
+
   /// Reports the number of requests that this instance has received to a holder
   /// of the shared retry pool.
   void ReportRequests() {
@@ -733,8 +761,8 @@
   /// Of the control thread: until then, an instance that follows others does
   /// not read the table service.
   base::Millis read_again_at_;
-  /// Of the control thread: the latest configuration version that a peer has.
-  uint64_t newest_known_configuration_ = 0;
+  /// Of the control thread.
+  KnownConfigurations known_configurations_;
   base::Metrics metrics_;
   asio::io_context traffic_{1};
   asio::io_context control_{1};
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -80,6 +80,8 @@
   CPPUNIT_TEST(TestSlackOfAllInstancesStaysWithinTotal);
   CPPUNIT_TEST(TestSlackOfASplitGroupStaysWithinTotal);
   CPPUNIT_TEST(TestOlderConfigurationIsIgnored);
+  CPPUNIT_TEST(TestConfigurationOfAPeerIsTakenAsADifference);
+  CPPUNIT_TEST(TestLastReadableVersionOfSeveralTakesEffect);
   CPPUNIT_TEST(TestUnreadableConfigurationIsRejected);
   CPPUNIT_TEST(TestUnreadableTargetIsSkipped);
   CPPUNIT_TEST(TestPeerTargetsOfALaterTableVersionAreAdopted);
@@ -235,6 +237,30 @@
     EXPECT_EQ(1, publish_count_);
   }
 
+  void TestLastReadableVersionOfSeveralTakesEffect() {
+    const std::string key = PlainFormat::kConfigurationKey;
+    source_->OnConfigurationRows(
+        {{key, "7", false}, {key, "8", false}, {key, "?", false}});
+    EXPECT_EQ(uint64_t{8}, source_->ConfigurationVersion());
+    EXPECT_EQ(1, publish_count_);
+  }
+
+  void TestConfigurationOfAPeerIsTakenAsADifference() {
+    source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
+    CatalogSource<PlainFormat> peer(&metrics_, [](const catalog::Catalog&) {});
+    peer.OnConfigurationText("7", ConfigurationOrigin::kStore);
+    peer.OnConfigurationText("8", ConfigurationOrigin::kStore);
+    PeerCatalog sent;
+    sent.compressed_configuration = peer.ConfigurationHistory().CompressFor(
+        source_->ConfigurationHistory().CurrentDigest());
+    EXPECT(sent.compressed_configuration.base_digest != 0);
+    source_->OnPeerCatalog(sent);
+    EXPECT_EQ(uint64_t{8}, source_->ConfigurationVersion());
+    // The base is no longer the current text.
+    source_->OnPeerCatalog(sent);
+    EXPECT_EQ(uint64_t{8}, source_->ConfigurationVersion());
+  }
+
   void TestUnreadableConfigurationIsRejected() {
     source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
     source_->OnConfigurationText("?", ConfigurationOrigin::kStore);
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -114,6 +114,9 @@
 PeerCatalog FromProto(const peer::FetchCatalogReply& reply) {
   PeerCatalog catalog;
   catalog.configuration = reply.configuration();
+  catalog.compressed_configuration = {reply.compressed_configuration(),
+                                      reply.configuration_digest(),
+                                      reply.configuration_base_digest()};
   catalog.age = {reply.age_ms()};
   catalog.table_version = {reply.table_version(), reply.table_era()};
   catalog.is_delta = reply.is_delta();
@@ -298,6 +301,10 @@
   peer::FetchCatalogReply reply;
   reply.set_version(callbacks_.configuration_version());
   reply.set_configuration(catalog.configuration);
+  reply.set_compressed_configuration(catalog.compressed_configuration.bytes);
+  reply.set_configuration_digest(catalog.compressed_configuration.digest);
+  reply.set_configuration_base_digest(
+      catalog.compressed_configuration.base_digest);
   reply.set_age_ms(catalog.age.count);
   reply.set_has_targets(catalog.targets.has_value());
   reply.set_table_version(catalog.table_version.number);
@@ -350,6 +357,66 @@
   return peers[base::RandomNumber() % peers.size()].address;
 }
 
+peer::FetchCatalogRequest PeerLink::MakeConfigurationRequest() const {
+  peer::FetchCatalogRequest request;
+  request.set_known_version(callbacks_.configuration_version());
+  request.set_accepts_compressed_configuration(true);
+  request.set_configuration_digest(callbacks_.configuration_digest());
+  request.set_is_large_configuration_read(callbacks_.can_read_configuration());
+  return request;
+}
+
+std::optional<std::string> PeerLink::ChoosePeerWithNewerConfiguration() const {
+  const uint64_t own = callbacks_.configuration_version();
+  std::vector<std::string> addresses;
+  for (const membership::PeerState& it : membership_.Table().Reachable()) {
+    if (it.configuration_version > own) {
+      addresses.push_back(it.address);
+    }
+  }
+  if (addresses.empty()) {
+    return std::nullopt;
+  }
+  return addresses[base::RandomNumber() % addresses.size()];
+}
+
+void PeerLink::FetchConfiguration() {
+  if (is_fetching_configuration_ || !callbacks_.lacks_configuration() ||
+      base::Clock::Now() < next_configuration_fetch_at_) {
+    return;
+  }
+  const std::optional<std::string> address = ChoosePeerWithNewerConfiguration();
+  if (!address) {
+    return;
+  }
+  is_fetching_configuration_ = true;
+  peer::FetchCatalogRequest request = MakeConfigurationRequest();
+  // No targets are later than these, so that none are sent.
+  request.set_known_table_version(UINT64_MAX);
+  request.set_known_table_era(UINT64_MAX);
+  client_.FetchCatalog(*address, request, times_.peer_wait + kFetchSlack,
+                       [this](std::optional<peer::FetchCatalogReply> reply) {
+                         callbacks_.post([this, reply = std::move(reply)] {
+                           is_fetching_configuration_ = false;
+                           OnConfigurationFetched(reply);
+                         });
+                       });
+}
+
+void PeerLink::OnConfigurationFetched(
+    const std::optional<peer::FetchCatalogReply>& reply) {
+  const uint64_t before = callbacks_.configuration_version();
+  if (reply) {
+    PeerCatalog catalog = FromProto(*reply);
+    catalog.targets.reset();
+    callbacks_.on_catalog(catalog);
+  }
+  if (callbacks_.configuration_version() == before) {
+    // The peer is of an older build or out of reach.
+    next_configuration_fetch_at_ = base::Clock::Now() + times_.peer_wait;
+  }
+}
+
 void PeerLink::FetchFromPeer() {
   if (is_fetching_ || !callbacks_.needs_catalog()) {
     return;
@@ -360,10 +427,10 @@
     return;
   }
   is_fetching_ = true;
-  peer::FetchCatalogRequest request;
-  request.set_known_version(callbacks_.needs_configuration()
-                                ? callbacks_.configuration_version()
-                                : UINT64_MAX);
+  peer::FetchCatalogRequest request = MakeConfigurationRequest();
+  if (!callbacks_.needs_configuration()) {
+    request.set_known_version(UINT64_MAX);
+  }
   // A peer can compute changes only against a revision that it sent itself.
   const uint64_t known_revision =
       *address == known_targets_peer_ ? known_targets_revision_ : 0;
@@ -371,7 +438,6 @@
   const catalog::TableVersion version = callbacks_.table_version();
   request.set_known_table_version(version.number);
   request.set_known_table_era(version.era);
-  request.set_is_large_configuration_read(callbacks_.can_read_configuration());
   client_.FetchCatalog(*address, request, times_.peer_wait + kFetchSlack,
                        [this, address = *address, known_revision](
                            std::optional<peer::FetchCatalogReply> reply) {
@@ -408,13 +474,13 @@
   if (!reply) {
     return;
   }
-  callbacks_.on_configuration_version(reply->version());
   PeerCatalog catalog = FromProto(*reply);
   if (reply->has_targets() && reply->targets_revision() == known_revision) {
     catalog.targets.reset();
     callbacks_.on_catalog_unchanged(catalog);
   }
   const bool is_adopted = callbacks_.on_catalog(catalog);
+  callbacks_.on_configuration_version(reply->version());
   if (is_adopted) {
     known_targets_revision_ = reply->targets_revision();
     known_targets_peer_ = address;
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -32,6 +32,11 @@
   /// Runs a task on the control thread, from any thread.
   std::function<void(std::function<void()>)> post;
   std::function<uint64_t()> configuration_version;
+  /// Returns the digest of the text of the configuration; 0 if there is none.
+  std::function<uint64_t()> configuration_digest;
+  /// Returns whether a newer configuration has been known for so long that
+  /// peers that have it are to be asked for it.
+  std::function<bool()> lacks_configuration;
   /// Returns the catalog for a peer: the configuration if the peer's is older,
   /// and either all targets or only the changes made after the revision that
   /// the peer has.
@@ -107,6 +112,9 @@
   /// Starts to fetch the catalog from a peer if `needs_catalog` returns true
   /// and no fetch is in progress.
   void FetchFromPeer();
+  /// Starts to fetch the configuration alone from any peer that has a newer one
+  /// if `lacks_configuration` returns true and no such fetch is in progress.
+  void FetchConfiguration();
   void LeaveGroup() { membership_.AnnounceLeaving(); }
   /// Tells all peers whether this instance has lost its direct path to the
   /// targets.
@@ -160,6 +168,8 @@
     base::Millis expires_at;
   };
 
+  /// Returns a request for a newer configuration.
+  peer::FetchCatalogRequest MakeConfigurationRequest() const;
   bool HasNewerTargets(const peer::FetchCatalogRequest& request) const;
   bool HasNewerCatalog(const peer::FetchCatalogRequest& request) const;
   peer::FetchCatalogReply MakeCatalogReply(
@@ -171,6 +181,9 @@
   void OnFetchResult(const std::string& address, bool is_fresh);
   void UpdatePlace();
   std::optional<std::string> ChoosePeer();
+  std::optional<std::string> ChoosePeerWithNewerConfiguration() const;
+  void OnConfigurationFetched(
+      const std::optional<peer::FetchCatalogReply>& reply);
 
   PeerLinkCallbacks callbacks_;
   std::vector<std::string> seeds_;
@@ -188,6 +201,8 @@
   /// The peers last passed to `on_tunnel_peers`.
   std::vector<forward::TunnelPeer> tunnel_peers_;
   bool is_fetching_ = false;
+  bool is_fetching_configuration_ = false;
+  base::Millis next_configuration_fetch_at_;
   /// Address of a peer outside CatalogPlace::sources whose targets were not
   /// older than CatalogTimes::maximum_age. The next fetch goes to the same
   /// peer. Empty if there is none.
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -103,8 +103,16 @@
     callbacks.configuration_version = [this] {
       return configuration_version.load();
     };
-    callbacks.catalog_newer_than = [this](const peer::FetchCatalogRequest&) {
+    callbacks.configuration_digest = [] { return 0; };
+    callbacks.lacks_configuration = [this] {
+      return lacks_configuration.load();
+    };
+    callbacks.catalog_newer_than = [this](const peer::FetchCatalogRequest& it) {
       PeerCatalog catalog;
+      if (it.accepts_compressed_configuration() &&
+          it.known_version() < configuration_version) {
+        catalog.compressed_configuration = {"text", configuration_version, 0};
+      }
       catalog.targets.emplace();
       catalog.table_version = table_version;
       return catalog;
@@ -121,6 +129,9 @@
       if (it.targets) {
         fetched_era = it.table_version.era;
       }
+      if (!it.compressed_configuration.bytes.empty()) {
+        configuration_version = it.compressed_configuration.digest;
+      }
       return false;
     };
     callbacks.on_catalog_unchanged = [](const PeerCatalog&) {};
@@ -191,6 +202,13 @@
     loop_.Post([this] { link_->FetchFromPeer(); });
   }
 
+  void FetchConfiguration() {
+    loop_.Post([this] {
+      link_->FetchConfiguration();
+      link_->AnswerHeldRequests();
+    });
+  }
+
   void AnnouncePathLost(bool is_lost) {
     loop_.Post([this, is_lost] { link_->AnnouncePathLost(is_lost); });
   }
@@ -249,6 +267,7 @@
   std::atomic<int> permits = 0;
   std::atomic<uint64_t> configuration_version = 1;
   std::atomic<uint64_t> known_configuration = 0;
+  std::atomic<bool> lacks_configuration = false;
   /// To be set before Start().
   catalog::TableVersion table_version{1};
   /// Era of the targets last fetched from a peer.
@@ -284,6 +303,7 @@
   CPPUNIT_TEST(TestAllMembersAreToldOfSuspects);
   CPPUNIT_TEST(TestAllMembersLearnOfALostPathWithinASecond);
   CPPUNIT_TEST(TestAllMembersLearnOfANewerConfiguration);
+  CPPUNIT_TEST(TestConfigurationIsFetchedFromAnyMemberThatHasIt);
   CPPUNIT_TEST(TestTargetsOfALaterEraAreSentToAPeerWithAHigherVersion);
   CPPUNIT_TEST(TestStreamRecordOutlivesTheInstanceThatServedIt);
   CPPUNIT_TEST(TestOnlyVersionOfAServiceIsTheOriginOfItsStreams);
@@ -410,6 +430,29 @@
         peer::MembershipProtocol::kProbePeriod * 3));
   }
 
+  // The source of an instance may be cut off while others have the
+  // configuration.
+  void TestConfigurationIsFetchedFromAnyMemberThatHasIt() {
+    const std::string address = FreeAddress();
+    Member first("i0", address, {});
+    Member second("i1", FreeAddress(), {address});
+    first.configuration_version = 2;
+    first.Start();
+    second.Start();
+    EXPECT(
+        BecomesTrue([&] { return second.known_configuration == 2; }, {10'000}));
+    second.FetchConfiguration();
+    EXPECT_EQ(uint64_t{1}, second.configuration_version.load());
+    second.lacks_configuration = true;
+    EXPECT(BecomesTrue(
+        [&] {
+          second.FetchConfiguration();
+          return second.configuration_version == 2;
+        },
+        {10'000}));
+    EXPECT_EQ(uint64_t{0}, second.fetched_era.load());
+  }
+
   void TestStreamRecordOutlivesTheInstanceThatServedIt() {
     constexpr base::Millis kTimeout{5000};
     const std::string address = FreeAddress();
--- a/src/net/http_call_client.h
+++ b/src/net/http_call_client.h
@@ -26,8 +26,8 @@
 
 using HttpResponse = bhttp::response<bhttp::string_body>;
 
-/// A response that arrives faster is not given up for taking long: what has been
-/// transferred would be lost, and the next call would take as long.
+/// A response that arrives faster is not given up for taking long: what has
+/// been transferred would be lost, and the next call would take as long.
 inline constexpr uint64_t kMinimumBytesPerSecond = 64u << 10;
 /// A response that pauses for longer is given up.
 inline constexpr base::Millis kMaximumPause{1000};
--- a/src/net/http_call_client_test.cc
+++ b/src/net/http_call_client_test.cc
@@ -4,11 +4,11 @@
 #include <string>
 #include <thread>
 
+#include <fmt/format.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
-#include <fmt/format.h>
 
 #include "tests/test_macros.h"
 
@@ -42,8 +42,8 @@
     std::string buf(4096, '\0');
     ErrorCode ec;
     socket.read_some(asio::buffer(buf), ec);
-    const std::string header = fmt::format(
-        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", length);
+    const std::string header =
+        fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", length);
     asio::write(socket, asio::buffer(header), ec);
     const std::string piece(piece_bytes, 'x');
     for (size_t i = 0; i < n && !ec; ++i) {
