Tell followers of the targets early when their reader is cut off

Requests could reach targets that had left for as long as the bound: a follower whose reader the table service refuses read for itself when its targets were 0.75 of the bound old, and had the rest of it for a list of all targets, which took up to 1.0 s. The ages were too young besides: they left out the way of a peer's answer, and an own read was dated when it arrived, not when it was made.

A follower now reads at 0.5 of the bound. So that ages stay below it at rest, a later confirmation is told at once to a peer whose request names an older one, and readers call after 0.35 instead of 0.4 of the bound. Ages include the time on the way (request to reply, less what the peer says that it held the request) and reads without a wait count from when they were made.

CatalogTreeTest::TestFollowersHaveTimeToListTargetsWhenTheirReaderFails failed on the old shares.

--- a/src/catalog/table_watcher.h
+++ b/src/catalog/table_watcher.h
@@ -63,9 +63,10 @@
   /// Called with the changed rows after each read that returned any, and the
   /// version up to which these are all changes.
   std::function<void(const std::vector<Row>&, TableVersion version)> on_changed;
-  /// Called after each successful read with the version that was read, before
-  /// the callback that gets the rows.
-  std::function<void(TableVersion version)> on_available;
+  /// Called after each successful read with the version that was read and a
+  /// time at which it was the newest one, before the callback that gets the
+  /// rows.
+  std::function<void(TableVersion version, base::Millis as_of)> on_available;
   /// Called after each failed read, except for kHistoryGone.
   std::function<void(TableReadError)> on_unavailable;
   /// Called once after failed reads, when all changes made until then have been
@@ -118,8 +119,9 @@
     if (!is_listed_) {
       co_return co_await ListAll();
     }
+    const base::Millis limited_wait = LimitWait(*wait);
     const TableReadResult result = co_await reader_->WaitForChanges(
-        options_.table, version_.number, LimitWait(*wait));
+        options_.table, version_.number, limited_wait);
     if (!result) {
       co_return HandleError(result.error());
     }
@@ -132,7 +134,9 @@
       is_listed_ = false;
       co_return base::Millis{0};
     }
-    HandleSuccess(version);
+    // A call that waits is answered at its end; its answer is small.
+    HandleSuccess(version,
+                  limited_wait.count == 0 ? called_at_ : base::Clock::Now());
     if (result->rows.empty()) {
       if (std::exchange(is_catching_up_, false)) {
         callbacks_.on_caught_up();
@@ -192,7 +196,7 @@
     if (version->era != version_.era && version_.era != 0) {
       OnReturnedFromCopy(*version);
     }
-    HandleSuccess(*version);
+    HandleSuccess(*version, called_at_);
     is_listed_ = true;
     callbacks_.on_listed(rows, *version);
     co_return base::Millis{0};
@@ -228,10 +232,10 @@
                {"version_before", version_.number}});
   }
 
-  void HandleSuccess(TableVersion version) {
+  void HandleSuccess(TableVersion version, base::Millis as_of) {
     version_ = version;
     backoff_ = options_.initial_backoff;
-    callbacks_.on_available(version);
+    callbacks_.on_available(version, as_of);
     if (is_unavailable_) {
       is_unavailable_ = false;
       const base::Millis now = base::Clock::Now();
--- a/src/catalog/table_watcher_test.cc
+++ b/src/catalog/table_watcher_test.cc
@@ -160,7 +160,7 @@
     TableWatcherCallbacks callbacks;
     callbacks.on_listed = [](const std::vector<Row>&, TableVersion) {};
     callbacks.on_changed = callbacks.on_listed;
-    callbacks.on_available = [](TableVersion) {};
+    callbacks.on_available = [](TableVersion, base::Millis) {};
     callbacks.on_unavailable = [](TableReadError) {};
     callbacks.on_caught_up = [this] { ++caught_up_count_; };
     callbacks.next_wait = [] { return kWait; };
--- a/src/gateway/catalog_source.h
+++ b/src/gateway/catalog_source.h
@@ -177,12 +177,15 @@
   }
 
   /// To be called when the table service has answered that there is no change
-  /// up to `version`, or after the changes up to it have been applied.
-  void OnTargetTableAnswered(catalog::TableVersion version) {
+  /// up to `version`, or after the changes up to it have been applied. `as_of`
+  /// is a time at which it was the newest version: a large answer is on its way
+  /// for a while.
+  void OnTargetTableAnswered(catalog::TableVersion version,
+                             base::Millis as_of) {
     const base::Millis now = base::Clock::Now();
     if (!(CompareWithCurrent(version) < 0)) {
       SetTableVersion(version);
-      ConfirmTargets(now);
+      ConfirmTargets(as_of);
     }
     const uint64_t era_before = std::exchange(read_era_, version.era);
     if (era_before != 0 && version.era > era_before) {
--- a/src/gateway/catalog_tree.cc
+++ b/src/gateway/catalog_tree.cc
@@ -21,13 +21,13 @@
 }  // namespace
 
 CatalogTimes::CatalogTimes(base::Millis bound)
-    : reader_wait(Percent(bound, 40)),
+    : reader_wait(Percent(bound, 35)),
       direct_wait(std::min(Percent(bound, 75), kMaximumDirectWait)),
       configuration_wait(Percent(bound, 75)),
       peer_wait(Percent(bound, 10)),
       configuration_patience(Percent(bound, 10)),
       configuration_read_patience(Percent(bound, 30)),
-      maximum_age(Percent(bound, 75)),
+      maximum_age(Percent(bound, 50)),
       retry_pause(bound) {}
 
 std::optional<base::Millis> TargetReadWait(const CatalogTimes& times,
--- a/src/gateway/catalog_tree.h
+++ b/src/gateway/catalog_tree.h
@@ -59,6 +59,10 @@
   base::Millis retry_pause;
 };
 
+/// A peer whose targets were confirmed later than those of the requesting
+/// instance, by this time at least, answers without a delay.
+inline constexpr base::Millis kMinimumAgeGain{100};
+
 /// Returns how long the next call to the table service may wait for a change of
 /// the targets. Returns nothing if no call is to be made, because peers keep
 /// the targets young enough. `age` is the time since the targets were last
--- a/src/gateway/catalog_tree_test.cc
+++ b/src/gateway/catalog_tree_test.cc
@@ -52,8 +52,16 @@
 /// time; a member knows all of them up to `content`.
 class GroupModel {
  public:
-  GroupModel(size_t n, uint64_t seed)
-      : members_(MakeMembers(n)), nodes_(n), random_(seed) {}
+  /// A follower's own read of all targets takes `list_time`.
+  GroupModel(size_t n,
+             uint64_t seed,
+             Millis bound = kBound,
+             Millis list_time = {0})
+      : times_(bound),
+        list_time_(list_time),
+        members_(MakeMembers(n)),
+        nodes_(n),
+        random_(seed) {}
 
   /// Plays `duration`. `faults_per_minute` members fail for some seconds,
   /// readers first.
@@ -75,6 +83,17 @@
     }
   }
 
+  /// Cuts the readers of `n` domains and a third of the other members off from
+  /// the table service at this moment.
+  void CutFromStore(size_t n, Millis duration) {
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      const bool is_reader = nodes_[i].place.role == CatalogRole::kReader;
+      if (is_reader ? i % kDomains < n : random_() % 3 == 0) {
+        SetFault(&nodes_[i], Fault::kCutFromStore, duration);
+      }
+    }
+  }
+
   size_t calls = 0;
   /// Longest time for which a sound member did not know of a change.
   Millis longest_lag;
@@ -95,6 +114,7 @@
     Millis fetch_begin;
     size_t failed = 0;
     Millis next_read;
+    std::optional<Millis> list_begin;
   };
 
   bool IsBelievedDead(const Node& node) const {
@@ -112,9 +132,15 @@
     const bool is_reader = !readers.empty() && random_() % 2 == 0;
     Node& node = nodes_[is_reader ? readers[random_() % readers.size()]
                                   : random_() % nodes_.size()];
-    node.fault = random_() % 2 == 0 ? Fault::kFrozen : Fault::kCutFromStore;
-    node.fault_begin = now_;
-    node.fault_end = now_ + Millis{static_cast<int64_t>(random_() % 12'000)};
+    const Fault fault =
+        random_() % 2 == 0 ? Fault::kFrozen : Fault::kCutFromStore;
+    SetFault(&node, fault, Millis{static_cast<int64_t>(random_() % 12'000)});
+  }
+
+  void SetFault(Node* node, Fault fault, Millis duration) const {
+    node->fault = fault;
+    node->fault_begin = now_;
+    node->fault_end = now_ + duration;
   }
 
   /// All members see the same group, and see changes of it at once.
@@ -181,16 +207,23 @@
       }
       node->content = now_;
     }
+    if (node->list_begin && now_ - *node->list_begin >= list_time_) {
+      node->content = std::max(node->content, *node->list_begin);
+      node->confirmed = std::max(node->confirmed, *node->list_begin);
+      node->list_begin.reset();
+    }
     const auto wait =
         TargetReadWait(times_, node->place.role, now_ - node->confirmed, false);
-    if (!wait || now_ < node->next_read) {
+    if (!wait || now_ < node->next_read || node->list_begin) {
       return;
     }
     ++calls;
     node->next_read = now_ + (has_store ? *wait : times_.retry_pause);
-    if (has_store) {
+    if (has_store && is_reader) {
       node->content = now_;
       node->confirmed = now_;
+    } else if (has_store) {
+      node->list_begin = now_;
     }
   }
 
@@ -205,7 +238,8 @@
     }
     const Node& source = nodes_[*node->source];
     const Millis waited = now_ - node->fetch_begin;
-    const bool has_news = HasNews(node->content, source.content);
+    const bool has_news = HasNews(node->content, source.content) ||
+                          source.confirmed - node->confirmed >= kMinimumAgeGain;
     if (source.fault == Fault::kFrozen) {
       if (waited >= times_.peer_wait + kFetchSlack) {
         node->source.reset();
@@ -221,7 +255,8 @@
     }
   }
 
-  CatalogTimes times_{kBound};
+  CatalogTimes times_;
+  Millis list_time_;
   std::vector<membership::PeerState> members_;
   std::vector<Node> nodes_;
   std::map<size_t, Millis> sound_since_;
@@ -238,6 +273,7 @@
   CPPUNIT_TEST(TestSmallGroupsReadDirectly);
   CPPUNIT_TEST(TestCallsDoNotGrowWithTheGroup);
   CPPUNIT_TEST(TestChangesArriveWithinTheBoundWhileReadersFail);
+  CPPUNIT_TEST(TestFollowersHaveTimeToListTargetsWhenTheirReaderFails);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -287,6 +323,21 @@
       }
     }
   }
+
+  // A list of some 250 targets took a second over a link that streams use.
+  void TestFollowersHaveTimeToListTargetsWhenTheirReaderFails() {
+    constexpr Millis kListTime{1000};
+    for (const Millis bound : {Millis{3000}, kBound}) {
+      for (uint64_t seed = 1; seed <= 5; ++seed) {
+        GroupModel group(83, seed, bound, kListTime);
+        for (int i = 0; i < 10; ++i) {
+          group.Play(Millis{15'000}, 0);
+          group.CutFromStore(kDomains - 1, Millis{9000});
+        }
+        EXPECT(group.longest_lag <= bound);
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CatalogTreeTest);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -295,7 +295,7 @@
       catalog_source_.OnConfigurationRows(rows);
     };
     callbacks.on_changed = callbacks.on_listed;
-    callbacks.on_available = [this](catalog::TableVersion) {
+    callbacks.on_available = [this](catalog::TableVersion, base::Millis) {
       metrics_.Add(base::Counter::kStoreCalls);
       catalog_source_.OnConfigurationTableAnswered();
     };
@@ -319,10 +319,13 @@
                                   catalog::TableVersion version) {
       catalog_source_.OnTargetsChanged(rows, version);
     };
-    callbacks.on_available = [this](catalog::TableVersion version) {
+    callbacks.on_available = [this](catalog::TableVersion version,
+                                    base::Millis as_of) {
       metrics_.Add(base::Counter::kStoreCalls);
       LogIfReadAlone();
-      catalog_source_.OnTargetTableAnswered(version);
+      catalog_source_.OnTargetTableAnswered(version, as_of);
+      // Later, when the rows of this answer have been applied.
+      asio::post(control_, [this] { peer_link_->AnswerHeldRequests(); });
     };
     callbacks.on_unavailable = [this](catalog::TableReadError) {
       metrics_.Add(base::Counter::kStoreCalls);
@@ -564,6 +567,7 @@
     callbacks.can_read_configuration = [this] {
       return !catalog_source_.NeedsConfigurationFromPeers();
     };
+    callbacks.targets_age = [this] { return catalog_source_.TargetsAge(); };
     callbacks.targets_revision = [this] {
       return catalog_source_.TargetsRevision();
     };
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -285,7 +285,7 @@
     source_->OnConfigurationTableAnswered();
     EXPECT(!source_->NeedsConfigurationFromPeers());
     source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, {1});
-    source_->OnTargetTableAnswered({1});
+    source_->OnTargetTableAnswered({1}, base::Clock::Now());
     EXPECT(!source_->NeedsCatalogFromPeers());
     source_->OnConfigurationTableUnavailable();
     EXPECT(source_->NeedsConfigurationFromPeers());
@@ -296,7 +296,7 @@
 
   void TestPeerTargetsOfALaterTableVersionAreAdopted() {
     source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
-    source_->OnTargetTableAnswered({5});
+    source_->OnTargetTableAnswered({5}, base::Clock::Now());
     source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, {5});
     source_->OnConfigurationTableAnswered();
     PeerCatalog peer;
@@ -318,7 +318,7 @@
 
   void TestTargetThatLeftWhileOthersWereServedDoesNotComeBack() {
     source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
-    source_->OnTargetTableAnswered({5});
+    source_->OnTargetTableAnswered({5}, base::Clock::Now());
     source_->OnTargetsListed({}, {5});
     source_->OnTargetTableUnavailable();
     PeerCatalog peer;
@@ -330,7 +330,7 @@
     EXPECT(source_->OnPeerCatalog(peer));
     // The table service answers again: "x" came and went since version 5, and
     // "y" has gone just now.
-    source_->OnTargetTableAnswered({9});
+    source_->OnTargetTableAnswered({9}, base::Clock::Now());
     source_->OnTargetsChanged(
         {{"x", "10.0.0.1:1", false}, {"x", "", true}, {"y", "", true}}, {9});
     EXPECT_EQ(size_t{0}, source_->Current().targets->size());
@@ -338,9 +338,9 @@
 
   void TestTargetsAreNotReplacedByThoseOfAnEarlierTableVersion() {
     source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
-    source_->OnTargetTableAnswered({5});
+    source_->OnTargetTableAnswered({5}, base::Clock::Now());
     source_->OnTargetsListed({{"x", "10.0.0.1:1", false}}, {5});
-    source_->OnTargetTableAnswered({9});
+    source_->OnTargetTableAnswered({9}, base::Clock::Now());
     source_->OnTargetsChanged({{"x", "", true}}, {9});
     EXPECT_EQ(size_t{0}, source_->Current().targets->size());
     // Another source confirmed an earlier state a moment ago.
@@ -350,7 +350,7 @@
     peer.table_version = {7};
     EXPECT(!source_->OnPeerCatalog(peer));
     // A call that waited meanwhile returns what has been read before.
-    source_->OnTargetTableAnswered({8});
+    source_->OnTargetTableAnswered({8}, base::Clock::Now());
     source_->OnTargetsChanged({{"x", "10.0.0.1:1", false}}, {8});
     EXPECT_EQ(size_t{0}, source_->Current().targets->size());
     EXPECT(catalog::TableVersion{9} == source_->TableVersion());
@@ -415,7 +415,7 @@
   void Read(const std::vector<catalog::Row>& rows,
             catalog::TableVersion version) {
     source_->OnConfigurationText("7", ConfigurationOrigin::kStore);
-    source_->OnTargetTableAnswered(version);
+    source_->OnTargetTableAnswered(version, base::Clock::Now());
     source_->OnTargetsListed(rows, version);
   }
 
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -111,6 +111,18 @@
   return suspect;
 }
 
+/// Adds to the age that `reply` states what has passed since the peer stated
+/// it, at most the time that request and reply were on their way.
+void AddTimeOnTheWay(base::Millis sent_at,
+                     std::optional<peer::FetchCatalogReply>* reply) {
+  if (*reply && (*reply)->has_held_ms()) {
+    const base::Millis took = base::Clock::Now() - sent_at;
+    const int64_t way_ms =
+        std::max<int64_t>(0, took.count - (*reply)->held_ms());
+    (*reply)->set_age_ms((*reply)->age_ms() + way_ms);
+  }
+}
+
 PeerCatalog FromProto(const peer::FetchCatalogReply& reply) {
   PeerCatalog catalog;
   catalog.configuration = reply.configuration();
@@ -257,8 +269,9 @@
   dependencies.on_fetch_catalog =
       [this](const peer::FetchCatalogRequest& request,
              std::function<void(peer::FetchCatalogReply)> done) {
+        const base::Millis now = base::Clock::Now();
         held_requests_.push_back(
-            {request, std::move(done), base::Clock::Now() + times_.peer_wait});
+            {request, std::move(done), now, now + times_.peer_wait});
         AnswerHeldRequests();
       };
   return dependencies;
@@ -280,18 +293,31 @@
          HasNewerTargets(request);
 }
 
+bool PeerLink::HasLaterConfirmation(const HeldRequest& request) const {
+  const std::optional<base::Millis> own = callbacks_.targets_age();
+  if (!own || !request.request.has_known_age_ms()) {
+    return false;
+  }
+  const base::Millis known = base::Millis{request.request.known_age_ms()} +
+                             (base::Clock::Now() - request.arrived_at);
+  return known - *own >= kMinimumAgeGain;
+}
+
 void PeerLink::AnswerHeldRequests() {
   const base::Millis now = base::Clock::Now();
   std::vector<HeldRequest> due;
   std::erase_if(held_requests_, [&](HeldRequest& it) {
-    if (!HasNewerCatalog(it.request) && now < it.expires_at) {
+    if (!HasNewerCatalog(it.request) && !HasLaterConfirmation(it) &&
+        now < it.expires_at) {
       return false;
     }
     due.push_back(std::move(it));
     return true;
   });
   for (const HeldRequest& it : due) {
-    it.done(MakeCatalogReply(it.request));
+    peer::FetchCatalogReply reply = MakeCatalogReply(it.request);
+    reply.set_held_ms((now - it.arrived_at).count);
+    it.done(std::move(reply));
   }
 }
 
@@ -438,15 +464,20 @@
   const catalog::TableVersion version = callbacks_.table_version();
   request.set_known_table_version(version.number);
   request.set_known_table_era(version.era);
-  client_.FetchCatalog(*address, request, times_.peer_wait + kFetchSlack,
-                       [this, address = *address, known_revision](
-                           std::optional<peer::FetchCatalogReply> reply) {
-                         callbacks_.post([this, address, known_revision,
-                                          reply = std::move(reply)] {
-                           is_fetching_ = false;
-                           OnFetched(address, known_revision, reply);
-                         });
-                       });
+  if (const std::optional<base::Millis> age = callbacks_.targets_age()) {
+    request.set_known_age_ms(age->count);
+  }
+  client_.FetchCatalog(
+      *address, request, times_.peer_wait + kFetchSlack,
+      [this, address = *address, known_revision, sent_at = base::Clock::Now()](
+          std::optional<peer::FetchCatalogReply> reply) {
+        callbacks_.post([this, address, known_revision, sent_at,
+                         reply = std::move(reply)]() mutable {
+          is_fetching_ = false;
+          AddTimeOnTheWay(sent_at, &reply);
+          OnFetched(address, known_revision, reply);
+        });
+      });
 }
 
 void PeerLink::OnFetchResult(const std::string& address, bool is_fresh) {
@@ -478,6 +509,7 @@
   if (reply->has_targets() && reply->targets_revision() == known_revision) {
     catalog.targets.reset();
     callbacks_.on_catalog_unchanged(catalog);
+    AnswerHeldRequests();
   }
   const bool is_adopted = callbacks_.on_catalog(catalog);
   callbacks_.on_configuration_version(reply->version());
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -45,6 +45,9 @@
   /// Returns the version of the table service that this instance's targets
   /// match; without a number if unknown.
   std::function<catalog::TableVersion()> table_version;
+  /// Returns the time since the targets were last known to match the table
+  /// service; empty if there are none.
+  std::function<std::optional<base::Millis>()> targets_age;
   /// Returns a number that identifies the current set of targets. The number
   /// changes whenever the set changes.
   std::function<uint64_t()> targets_revision;
@@ -123,8 +126,9 @@
   }
 
   /// Answers those held requests of peers for which this instance has a newer
-  /// catalog or whose long poll has timed out. To be called when the catalog
-  /// has changed and every kFetchPeriod.
+  /// catalog or a later confirmation of it, or whose long poll has timed out.
+  /// To be called when the catalog has changed or was confirmed, and every
+  /// kFetchPeriod.
   void AnswerHeldRequests();
 
   /// The limits on requests to targets that all instances share.
@@ -165,6 +169,7 @@
   struct HeldRequest {
     peer::FetchCatalogRequest request;
     std::function<void(peer::FetchCatalogReply)> done;
+    base::Millis arrived_at;
     base::Millis expires_at;
   };
 
@@ -172,6 +177,7 @@
   peer::FetchCatalogRequest MakeConfigurationRequest() const;
   bool HasNewerTargets(const peer::FetchCatalogRequest& request) const;
   bool HasNewerCatalog(const peer::FetchCatalogRequest& request) const;
+  bool HasLaterConfirmation(const HeldRequest& request) const;
   peer::FetchCatalogReply MakeCatalogReply(
       const peer::FetchCatalogRequest& request);
   /// `known_revision` is that of the targets named in the request.
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -122,6 +122,10 @@
     callbacks.on_configuration_version = [this](uint64_t version) {
       known_configuration = std::max(known_configuration.load(), version);
     };
+    callbacks.targets_age = [this]() -> std::optional<base::Millis> {
+      const base::Millis age{targets_age_ms};
+      return age < base::Millis{0} ? std::nullopt : std::optional(age);
+    };
     callbacks.targets_revision = [] { return 1; };
     callbacks.needs_catalog = [] { return true; };
     callbacks.needs_configuration = [] { return false; };
@@ -134,7 +138,9 @@
       }
       return false;
     };
-    callbacks.on_catalog_unchanged = [](const PeerCatalog&) {};
+    callbacks.on_catalog_unchanged = [this](const PeerCatalog&) {
+      ++unchanged_count;
+    };
     callbacks.on_target_lost = [](const forward::TargetLoss&, uint64_t) {};
     callbacks.on_member_count = [this](size_t n) { member_count = n; };
     callbacks.on_tunnel_peers = [this](std::vector<forward::TunnelPeer> it) {
@@ -268,6 +274,10 @@
   std::atomic<uint64_t> configuration_version = 1;
   std::atomic<uint64_t> known_configuration = 0;
   std::atomic<bool> lacks_configuration = false;
+  /// Less than zero if there are no targets.
+  std::atomic<int64_t> targets_age_ms = -1;
+  /// Fetches that found no newer targets.
+  std::atomic<int> unchanged_count = 0;
   /// To be set before Start().
   catalog::TableVersion table_version{1};
   /// Era of the targets last fetched from a peer.
@@ -304,6 +314,7 @@
   CPPUNIT_TEST(TestAllMembersLearnOfALostPathWithinASecond);
   CPPUNIT_TEST(TestAllMembersLearnOfANewerConfiguration);
   CPPUNIT_TEST(TestConfigurationIsFetchedFromAnyMemberThatHasIt);
+  CPPUNIT_TEST(TestLaterConfirmationOfTheTargetsIsToldAtOnce);
   CPPUNIT_TEST(TestTargetsOfALaterEraAreSentToAPeerWithAHigherVersion);
   CPPUNIT_TEST(TestStreamRecordOutlivesTheInstanceThatServedIt);
   CPPUNIT_TEST(TestOnlyVersionOfAServiceIsTheOriginOfItsStreams);
@@ -453,6 +464,21 @@
     EXPECT_EQ(uint64_t{0}, second.fetched_era.load());
   }
 
+  // Nothing here answers a delayed request, so only one that is answered at
+  // once gets an answer.
+  void TestLaterConfirmationOfTheTargetsIsToldAtOnce() {
+    const std::string address = FreeAddress();
+    Member first("i0", address, {});
+    Member second("i1", FreeAddress(), {address});
+    first.targets_age_ms = 0;
+    second.targets_age_ms = 500;
+    first.Start();
+    second.Start();
+    EXPECT(BecomesTrue([&] { return second.member_count == 2; }, {10'000}));
+    second.FetchFromPeer();
+    EXPECT(BecomesTrue([&] { return second.unchanged_count == 1; }, {1000}));
+  }
+
   void TestStreamRecordOutlivesTheInstanceThatServedIt() {
     constexpr base::Millis kTimeout{5000};
     const std::string address = FreeAddress();
