--- a/meta/large_configuration_test.py
+++ b/meta/large_configuration_test.py
@@ -9,7 +9,6 @@
 """
 import argparse
 import collections
-import http.client
 import pathlib
 import random
 import sys
@@ -17,8 +16,8 @@
 import threading
 import time
 
-from forwarding_stand_ins import HOST, Instance, Tables, encode, start_store
-from silent_store_test import Target
+from forwarding_stand_ins import Instance, Tables, encode, start_store
+from silent_store_test import Target, call
 
 INSTANCES = 8
 # Bounds that the platform states: from the acknowledgement of a change until it
@@ -132,27 +131,13 @@
         tries = 0
         while not self.is_over:
             tries += 1
-            if self.call(f"{self.instance.port}-{tries}") == 200:
+            if call(self.instance, self.next,
+                    f"{self.instance.port}-{tries}") == 200:
                 self.served_at[self.next] = time.monotonic()
                 self.next += 1
             else:
                 time.sleep(PROBE_PERIOD_S)
 
-    # Returns the status of a request on the next route, 0 without an answer.
-    def call(self, name):
-        connection = http.client.HTTPConnection(HOST, self.instance.port,
-                                                timeout=3)
-        try:
-            connection.request("GET", f"/r{self.next}/x", headers={
-                "Host": "h", "X-Attempt-Id": name, "X-Deadline-Ms": "2000"})
-            answer = connection.getresponse()
-            answer.read()
-            return answer.status
-        except (OSError, http.client.HTTPException):
-            return 0
-        finally:
-            connection.close()
-
 
 class Test:
     def __init__(self, arguments):
