Keep the reset of a target under a write apart from the end of its data

Callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got the part as a complete 200, on routes that may repeat and on those that may not, in streams, and in answers that are passed on in parts.

Cause: the system reports a reset once. TargetConnection::StartWrite dropped the error of the write, and the read that followed found the end of data, which is the end of an answer without a length.

Fix: the connection keeps the error of the write, and Receive() returns it instead of the end of data. All answers, and the reports of targets, are read through Receive(). A broken pipe is reported after the target's end of data has arrived and stays an end. Through tunnels, the end mark decides as before.

--- /dev/null
+++ b/meta/broken_answer_test.py
@@ -0,0 +1,194 @@
+#!/usr/bin/env python3
+"""Checks that answers that targets break off don't reach callers as complete
+answers of the forwarding interface.
+
+One instance runs as a process, with targets and a table service in this
+program.
+"""
+import argparse
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+from broken_answer_stand_ins import Server, call, new_id
+from forwarding_stand_ins import HOST, Instance, Tables, start_store
+
+TARGETS = 3
+START_S = 1.5
+DEADLINE_MS = 4000
+MAXIMUM_TRIES, RETRY_PAUSE_S = 30, 0.1
+MAXIMUM_BODY_BYTES = 4 << 20
+LONG_BODY = b"u" * 4_190_000
+WHOLE_BODY = b"a whole answer, in which no byte is missing\n" * 100_000
+ROUTES = {"once": "non_idempotent", "idem": "idempotent",
+          "stream": "streaming", "resumable": "streaming"}
+STREAMS = ("stream", "resumable")
+UPLOADS = 24
+# Bytes of the long body that the target reads before it answers.
+READ_SIZES = (0, 0, 100_000, 2_000_000)
+# Bytes of WHOLE_BODY that it sends. Those of PART_SIZES don't fit into the
+# memory of a small instance beside the long body.
+SENT_SIZES = (0, 1, 2500, 5999)
+PART_SIZES = (2_500_000, 3_000_000)
+MEMORY_MB, SMALL_MEMORY_MB = 256, 64
+MAXIMUM_PAUSE_S = 0.4
+STREAM_TYPE = b"Content-Type: text/event-stream\r\n"
+ONE_EVENT, NEXT_EVENT = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
+
+
+def configuration():
+    return {
+        "version": 1,
+        "routes": [{
+            "name": name, "host": "h", "prefix": f"/{name}/",
+            "route_kind": kind, "timeout_ms": DEADLINE_MS,
+            "target_latency_ms": 1000, "priority": 1, "service": "s",
+            "max_attempts": 2, "public": True,
+            **({"resumable": name == "resumable", "gap_aim_ms": 1000}
+               if kind == "streaming" else {})}
+            for name, kind in ROUTES.items()],
+        "services": [{"name": "s", "health_path": "/healthz",
+                      "max_conns": 400}],
+        "limits": {"idle_timeout_ms": 30000,
+                   "max_body_bytes": MAXIMUM_BODY_BYTES}}
+
+
+def row(address, domain):
+    return {"service": "s", "address": address, "zone": domain,
+            "version": "v1", "slots": 64, "state": "ready", "seq": 1,
+            "born": 1000}
+
+
+def request(method, route, name, body=b""):
+    return (f"{method} /{route}/{name} HTTP/1.1\r\nHost: h\r\n"
+            f"X-Attempt-Id: {name}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+# Head of a success of a target, with the lines `fields`.
+def sealed_head(name, fields):
+    return (b"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + name +
+            b"\r\nX-Server-Seal: s\r\n" + fields + b"\r\n")
+
+
+class Test:
+    def __init__(self, port, memory_mb):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="daisypond-broken-"))
+        # Answers the next requests; replaced by each case.
+        self.script = self.answer_well
+        self.arrivals = 0
+        # Answers that have begun at the caller and were cut off.
+        self.parts = 0
+        self.failures = []
+        tables = Tables()
+        tables.put("op", "config", configuration())
+        for i in range(TARGETS):
+            server = Server(self.serve)
+            tables.put("servers", f"t{i}", row(server.address, f"d{i}"))
+        self.instance = Instance(
+            0, port, self.folder, start_store(tables),
+            extra=f"memory_mb: {memory_mb}\nretries:\n  window_s: 10\n"
+                  "  ratio: 0.8\n  slack: 150\n")
+        self.address = f"{HOST}:{port}"
+
+    def serve(self, connection, head):
+        name = head.fields.get("x-attempt-id", "")
+        if not name:
+            connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return True
+        self.arrivals += 1
+        return self.script(connection, head, name.encode())
+
+    @staticmethod
+    def answer_well(connection, head, name):
+        connection.read_exactly(head.length())
+        connection.send(sealed_head(name, b"Content-Length: 4\r\n") + b"good")
+        return True
+
+    def fail(self, text):
+        self.failures.append(text)
+        print(f"VIOLATION {text}", flush=True)
+
+    # Sends requests until one reaches a target: targets that have failed may get
+    # none for a moment.
+    def call_target(self, script, method, route, body=b""):
+        self.script = script
+        arrivals = self.arrivals
+        for _ in range(MAXIMUM_TRIES):
+            got = call(self.address, request(method, route, new_id(), body))
+            if self.arrivals > arrivals:
+                return got
+            time.sleep(RETRY_PAUSE_S)
+        raise RuntimeError(f"no request has reached a target: {got}")
+
+    # A target answers a long upload without a length and resets the connection
+    # during the upload. The caller must not get the part as a complete answer.
+    def check_uploads(self, route, sizes, rng):
+        for _ in range(UPLOADS):
+            n_read, n_sent = rng.choice(READ_SIZES), rng.choice(sizes)
+            pause_s = rng.choice((0, rng.uniform(0, MAXIMUM_PAUSE_S)))
+            part = ONE_EVENT if route in STREAMS else WHOLE_BODY[:n_sent]
+
+            def answer(connection, head, name):
+                if head.fields.get("last-event-id") == "1":
+                    connection.read_exactly(head.length())
+                    connection.send(sealed_head(name, STREAM_TYPE + b"Content-"
+                                                b"Length: 15\r\n") + NEXT_EVENT)
+                    return True
+                connection.read_exactly(n_read)
+                connection.send(sealed_head(
+                    name, STREAM_TYPE if route in STREAMS else b"") + part)
+                time.sleep(pause_s)
+                connection.reset()
+                return False
+
+            got = self.call_target(answer, "POST", route, LONG_BODY)
+            self.parts += got.status == 200 and not got.is_complete
+            is_resumed = (route == "resumable" and
+                          got.body == ONE_EVENT + NEXT_EVENT)
+            if got.is_complete and got.status < 300 and not is_resumed:
+                self.fail(f"{route}: {len(got.body)} bytes came as a complete "
+                          f"{got.status}; the target had read {n_read} bytes, "
+                          f"sent {len(part)} and reset after {pause_s:.2f} s")
+
+    def check_good_answer(self):
+        for route in ("once", "idem"):
+            got = self.call_target(self.answer_well, "POST", route, b"b")
+            if got.status != 200 or got.body != b"good":
+                self.fail(f"{route}: a sound answer came as {got}")
+
+    def run(self, case, rng):
+        self.instance.start()
+        try:
+            time.sleep(START_S)
+            self.check_good_answer()
+            if case == "parts":
+                self.check_uploads("once", PART_SIZES, rng)
+                if not self.parts:
+                    self.fail("no answer was passed on in parts")
+            else:
+                self.check_uploads(case, SENT_SIZES, rng)
+            self.check_good_answer()
+        finally:
+            self.instance.kill()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--case", required=True,
+                        choices=("parts", *ROUTES),
+                        help="a route, or answers that are passed on in "
+                             "parts")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--port", type=int, default=24600)
+    arguments = parser.parse_args()
+    memory_mb = SMALL_MEMORY_MB if arguments.case == "parts" else MEMORY_MB
+    test = Test(arguments.port, memory_mb)
+    test.run(arguments.case, random.Random(arguments.seed))
+    print(f"{len(test.failures)} violations; logs in {test.folder}")
+    return 1 if test.failures else 0
+
+
+sys.exit(main())
--- a/src/forward/target_connection.cc
+++ b/src/forward/target_connection.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/read_size.hpp>
 
@@ -15,6 +16,15 @@
 constexpr size_t kMaximumReadBytes = 64u << 10;
 constexpr size_t kFrameReadBytes = 8u << 10;
 
+/// True if a write that ended with `ec` was the first to learn that the
+/// connection was lost.
+bool IsConnectionLoss(const net::ErrorCode& ec) {
+  // A broken pipe means a reset that followed the end of the target's data;
+  // an aborted write was cancelled on this side.
+  return ec && ec != net::asio::error::broken_pipe &&
+         ec != net::asio::error::operation_aborted;
+}
+
 }  // namespace
 
 TargetConnection::TargetConnection(const net::asio::any_io_executor& executor,
@@ -30,6 +40,7 @@
   write_header_ = std::move(header);
   write_body_ = std::move(body);
   is_write_done_ = false;
+  write_error_.clear();
   written_bytes_ = 0;
   ++request_count_;
   net::asio::async_write(
@@ -38,9 +49,9 @@
           net::asio::buffer(write_header_),
           write_body_ == nullptr ? net::asio::const_buffer()
                                  : net::asio::buffer(*write_body_)},
-      [self = shared_from_this()](net::ErrorCode /*ec*/, size_t n) {
-        // A write error also fails the read that waits for the response.
+      [self = shared_from_this()](net::ErrorCode ec, size_t n) {
         self->is_write_done_ = true;
+        self->write_error_ = ec;
         self->written_bytes_ = n;
         self->write_header_.clear();
         self->write_body_.reset();
@@ -59,9 +70,21 @@
     co_return co_await ReceiveFrames();
   }
   const net::ErrorCode ec = co_await ReceiveBytes();
-  co_return ec == net::asio::error::eof&& Route() == ConnectionRoute::kTunnel
-      ? net::asio::error::make_error_code(net::asio::error::connection_aborted)
-      : ec;
+  if (ec != net::asio::error::eof) {
+    co_return ec;
+  }
+  if (Route() == ConnectionRoute::kTunnel) {
+    co_return net::asio::error::make_error_code(
+        net::asio::error::connection_aborted);
+  }
+  // The system reports a reset once. If the write has got it, this read finds
+  // the end of data instead.
+  if (!is_write_done_) {
+    // The handler of the write may be queued behind this one.
+    co_await net::asio::post(socket_.Raw().get_executor(),
+                             net::asio::use_awaitable);
+  }
+  co_return IsConnectionLoss(write_error_) ? write_error_ : ec;
 }
 
 net::asio::awaitable<net::ErrorCode> TargetConnection::ReceiveBytes() {
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -40,8 +40,10 @@
 
   /// Waits for the next bytes of the target and appends them to Buffer().
   /// Returns net::asio::error::eof only when the target itself has closed the
-  /// connection. If it can't be told whether that was the target or the peer
-  /// that relays the bytes, returns net::asio::error::connection_aborted.
+  /// connection in order. If it can't be told whether that was the target or
+  /// the peer that relays the bytes, returns
+  /// net::asio::error::connection_aborted. If the connection was lost under the
+  /// write, returns the error of the write.
   net::asio::awaitable<net::ErrorCode> Receive();
 
   /// To be called when a tunnel has been opened, with the form in which it
@@ -116,6 +118,8 @@
   std::string write_header_;
   std::shared_ptr<const std::string> write_body_;
   bool is_write_done_ = true;
+  /// Set if the last write has ended with an error.
+  net::ErrorCode write_error_;
   size_t written_bytes_ = 0;
   int request_count_ = 0;
   bool is_abandoned_ = false;
