Tunnels: don't mark the end of a target that has reset its connection

Callers would see: an answer without a length that is reset during a long upload ends as complete when it comes through a tunnel, since the end mark of the tunnel decides.

When the peer finds the next part of the request and the reset in one turn of its event loop, the write to the target takes the error, and the read from it finds the end of data before the handler of the write has run. The relay then wrote the end mark, and reset the tunnel after it.

Fix: at the end of data, the relay first lets queued handlers run, and takes the end for a failure if the other direction has failed.

--- a/src/tunnel/byte_relay.cc
+++ b/src/tunnel/byte_relay.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include "net/spawn.h"
@@ -70,6 +71,13 @@
     const auto [read_ec, n_read] = co_await flow->from->Raw().async_read_some(
         net::asio::buffer(flow->buf), net::kAsTuple);
     if (read_ec == net::asio::error::eof) {
+      // The system reports a reset once. If a write of the other direction has
+      // got it, its handler may be queued behind this one.
+      co_await net::asio::post(flow->from->Raw().get_executor(),
+                               net::asio::use_awaitable);
+      if (result_.end != RelayEnd::kClosed) {
+        co_return flow->read_failure;
+      }
       const net::ErrorCode end_ec = co_await WriteEnd(flow);
       co_return end_ec ? flow->write_failure : RelayEnd::kClosed;
     }
--- a/src/tunnel/tunnel_test.cc
+++ b/src/tunnel/tunnel_test.cc
@@ -34,6 +34,7 @@
 
 constexpr int kTimeoutMs = 3000;
 constexpr base::Millis kOpenTimeout{400};
+constexpr base::Millis kStall{200};
 // Small buffers, so that a test soon fills them.
 constexpr int kSmallBufferBytes = 32 << 10;
 
@@ -197,6 +198,11 @@
     return OpenTunnels() == n;
   }
 
+  /// Keeps the peer's thread busy for `span`. Returns at once.
+  void Stall(base::Millis span) {
+    asio::post(io_, [span] { std::this_thread::sleep_for(span.ToChrono()); });
+  }
+
   void StopAccepting() {
     asio::post(io_, [this] { server_.StopAccepting(); });
     OpenTunnels();
@@ -288,6 +294,7 @@
   CPPUNIT_TEST(TestBytesAfterASplitAnswerAreKept);
   CPPUNIT_TEST(TestIdThatDoesNotFitIsRefused);
   CPPUNIT_TEST(TestEndOfTargetIsMarked);
+  CPPUNIT_TEST(TestResetOfTargetUnderAWriteIsNotMarkedAsEnd);
   CPPUNIT_TEST(TestEndOfPeerIsNotMarked);
   CPPUNIT_TEST(TestEndOfPeerResetsTunnelWithoutFrames);
   CPPUNIT_TEST_SUITE_END();
@@ -535,6 +542,25 @@
     EXPECT(opened.connection->ReadToEnd() == ReadEnd::kEndOfData);
   }
 
+  // A write to the target learned of the reset; the read saw the end of data.
+  void TestResetOfTargetUnderAWriteIsNotMarkedAsEnd() {
+    const Listener target;
+    Peer peer({{"t", target.Address()}});
+    const Opened opened = OpenTunnel(peer.Address(), "t", Framing::kFrames);
+    const auto at_target = target.Accept();
+    opened.connection->Send("request");
+    EXPECT_EQ(std::string("request"), at_target->Read(7));
+    at_target->Send("part");
+    EXPECT_EQ(std::string("\0\4part", 6), opened.connection->Read(6));
+    // The peer finds more of the request before it finds the reset.
+    peer.Stall(kStall);
+    opened.connection->Send("rest of the request");
+    std::this_thread::sleep_for((kStall / 4).ToChrono());
+    at_target->Reset();
+    EXPECT_EQ(std::string(), opened.connection->Read(100));
+    EXPECT(opened.connection->ReadToEnd() == ReadEnd::kReset);
+  }
+
   // An instance took the end of its peer for the end of the target's answer.
   void TestEndOfPeerIsNotMarked() {
     const Listener target;
