Take an answer whose status is above 599 for broken

Callers saw: an answer of a target with status 600 or 999 was passed on as it came. HTTP has no status above 599 (RFC 9110, section 15).

Cause: ResponseReader checked the lower bound of the status only.

All other forms were refused before and are kept as a test, among them status 000 with and without a reason, 099, of one, two and four digits, with a sign or a letter, and control bytes in the reason phrase.

Fix: both bounds are checked where all answers of targets are read. The answer is then a broken one: another target is tried, or the caller gets a 502.

--- a/meta/broken_answer_stand_ins.py
+++ b/meta/broken_answer_stand_ins.py
@@ -11,6 +11,44 @@
 # Small, so that a server that does not read holds up the writer of a long body.
 RECEIVE_BUFFER_BYTES = 64 << 10
 READ_BYTES = 64 << 10
+# First lines of heads that are not valid.
+BAD_FIRST_LINES = {
+    "status 000": b"HTTP/1.1 000 X",
+    "status 000 without reason": b"HTTP/1.1 000",
+    "status 099": b"HTTP/1.1 099 X",
+    "status 600": b"HTTP/1.1 600 X",
+    "status 999": b"HTTP/1.1 999 X",
+    "status of one digit": b"HTTP/1.1 2 X",
+    "status of two digits": b"HTTP/1.1 20 X",
+    "status of four digits": b"HTTP/1.1 2000 X",
+    "negative status": b"HTTP/1.1 -20 X",
+    "letter in status": b"HTTP/1.1 2x0 X",
+    "two blanks before status": b"HTTP/1.1  200 X",
+    "control byte in reason": b"HTTP/1.1 200 O\x01K",
+    "other version": b"HTTP/3.1 200 OK",
+}
+# Lines of fields that are not valid.
+BAD_FIELD_LINES = {
+    "blank in name": b"X A: v",
+    "blank before colon": b"X-A : v",
+    "blank at start of line": b" X-A: v",
+    "tab at start of line": b"\tX-A: v",
+    "tab in name": b"X\tA: v",
+    "tab before colon": b"X-A\t: v",
+    "nul in name": b"X\0A: v",
+    "control byte in name": b"X\x01A: v",
+    "delete byte in name": b"X\x7fA: v",
+    "high byte in name": b"X\x80A: v",
+    "cr in name": b"X\rA: v",
+    "lf in name": b"X\nA: v",
+    "empty name": b": v",
+    "no colon": b"X-A",
+    "nul in value": b"X-A: \0",
+    "control byte in value": b"X-A: \x01",
+    "blank in name of length": b"Content-Length : 2",
+    "control byte in name of length": b"Content-Length\x01: 2",
+    "blank before length": b" Content-Length: 2",
+}
 
 
 class Closed(Exception):
--- a/meta/broken_answer_test.py
+++ b/meta/broken_answer_test.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Checks that answers that targets break off don't reach callers as complete
+"""Checks that answers that targets break off or malform don't reach callers as
 answers of the forwarding interface.
 
 One instance runs as a process, with targets and a table service in this
@@ -12,7 +12,8 @@
 import tempfile
 import time
 
-from broken_answer_stand_ins import Server, call, new_id
+from broken_answer_stand_ins import (
+    BAD_FIELD_LINES, BAD_FIRST_LINES, Server, call, new_id)
 from forwarding_stand_ins import HOST, Instance, Tables, start_store
 
 TARGETS = 3
@@ -36,6 +37,16 @@
 MAXIMUM_PAUSE_S = 0.4
 STREAM_TYPE = b"Content-Type: text/event-stream\r\n"
 ONE_EVENT, NEXT_EVENT = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
+# Parts of answers; %s stands for the id of the request.
+GOOD_LINE = b"HTTP/1.1 200 OK\r\n"
+SEALED = b"X-Attempt-Id: %s\r\nX-Server-Seal: s\r\n"
+GOOD_REST = SEALED + b"Content-Length: 4\r\n\r\ngood"
+GOOD_STREAM = (SEALED + STREAM_TYPE + b"Content-Length: 15\r\n\r\n" +
+               ONE_EVENT)
+INTERIM_LINES = b"HTTP/1.1 103 X\r\nX-B: b\r\n"
+# Without the blank line that ends it.
+GOOD_CHUNKS = (GOOD_LINE + SEALED + b"Transfer-Encoding: chunked\r\n\r\n"
+               b"4\r\ngood\r\n0\r\nX-B: b\r\n")
 
 
 def configuration():
@@ -76,8 +87,8 @@
 class Test:
     def __init__(self, port, memory_mb):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="daisypond-broken-"))
-        # Answers the next requests; replaced by each case.
-        self.script = self.answer_well
+        # Answers the requests; set by each check.
+        self.script = None
         self.arrivals = 0
         # Answers that have begun at the caller and were cut off.
         self.parts = 0
@@ -101,12 +112,6 @@
         self.arrivals += 1
         return self.script(connection, head, name.encode())
 
-    @staticmethod
-    def answer_well(connection, head, name):
-        connection.read_exactly(head.length())
-        connection.send(sealed_head(name, b"Content-Length: 4\r\n") + b"good")
-        return True
-
     def fail(self, text):
         self.failures.append(text)
         print(f"VIOLATION {text}", flush=True)
@@ -153,24 +158,75 @@
                           f"{got.status}; the target had read {n_read} bytes, "
                           f"sent {len(part)} and reset after {pause_s:.2f} s")
 
-    def check_good_answer(self):
+    # The caller must get an error of the instance, or a stream that is cut off.
+    def check_bad_answer(self, what, method, route, text):
+        def answer(connection, head, name):
+            connection.read_exactly(head.length())
+            connection.send(text.replace(b"%s", name))
+            time.sleep(0.05)
+            return False
+        got = self.call_target(answer, method, route)
+        is_cut = route in STREAMS and not got.is_complete
+        if got.status != 502 and not is_cut:
+            self.fail(f"{method} {route}: {what} came as {got}")
+
+    def check_status_lines(self):
+        for what, first in BAD_FIRST_LINES.items():
+            first += b"\r\n"
+            for method, route in (("GET", "once"), ("POST", "idem")):
+                self.check_bad_answer(what, method, route, first + GOOD_REST)
+            self.check_bad_answer(what, "POST", "stream", first + GOOD_STREAM)
+
+    def check_field_lines(self):
+        for what, line in BAD_FIELD_LINES.items():
+            line += b"\r\n"
+            sealed = GOOD_LINE + b"X-Server-Seal: s\r\n" + line
+            for method, route, text in (
+                    ("POST", "once", GOOD_LINE + line + GOOD_REST),
+                    ("POST", "once", sealed + GOOD_REST),
+                    ("GET", "idem", sealed + GOOD_REST),
+                    ("HEAD", "idem", sealed + GOOD_REST),
+                    ("POST", "stream", sealed + GOOD_STREAM)):
+                self.check_bad_answer(what, method, route, text)
+            self.check_bad_answer(
+                f"{what}, interim head", "POST", "once",
+                INTERIM_LINES + line + b"\r\n" + GOOD_LINE + GOOD_REST)
+            self.check_bad_answer(f"{what}, trailer", "POST", "once",
+                                  GOOD_CHUNKS + line + b"\r\n")
+
+    # Answers in the forms of the bad ones.
+    def check_good_answers(self):
         for route in ("once", "idem"):
-            got = self.call_target(self.answer_well, "POST", route, b"b")
-            if got.status != 200 or got.body != b"good":
-                self.fail(f"{route}: a sound answer came as {got}")
+            for text in (GOOD_LINE + GOOD_REST, GOOD_CHUNKS + b"\r\n",
+                         INTERIM_LINES + b"\r\n" + GOOD_LINE + GOOD_REST):
+                self.check_good_answer(route, text, b"good")
+        self.check_good_answer("stream", GOOD_LINE + GOOD_STREAM, ONE_EVENT)
+
+    def check_good_answer(self, route, text, body):
+        def answer(connection, head, name):
+            connection.read_exactly(head.length())
+            connection.send(text.replace(b"%s", name))
+            return True
+        got = self.call_target(answer, "POST", route, b"b")
+        if got.status != 200 or not got.is_complete or got.body != body:
+            self.fail(f"{route}: a sound answer came as {got}")
 
     def run(self, case, rng):
         self.instance.start()
         try:
             time.sleep(START_S)
-            self.check_good_answer()
-            if case == "parts":
+            self.check_good_answers()
+            if case == "status_lines":
+                self.check_status_lines()
+            elif case == "field_lines":
+                self.check_field_lines()
+            elif case == "parts":
                 self.check_uploads("once", PART_SIZES, rng)
                 if not self.parts:
                     self.fail("no answer was passed on in parts")
             else:
                 self.check_uploads(case, SENT_SIZES, rng)
-            self.check_good_answer()
+            self.check_good_answers()
         finally:
             self.instance.kill()
 
@@ -178,9 +234,10 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--case", required=True,
-                        choices=("parts", *ROUTES),
-                        help="a route, or answers that are passed on in "
-                             "parts")
+                        choices=("status_lines", "field_lines", "parts",
+                                 *ROUTES),
+                        help="malformed lines, or long uploads: with answers "
+                             "that are passed on in parts, or on a route")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--port", type=int, default=24600)
     arguments = parser.parse_args()
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -11,6 +11,7 @@
 constexpr int kMaximumInterimResponses = 8;
 constexpr unsigned kContinue = 100;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 }  // namespace
 
@@ -45,7 +46,7 @@
                                      : ReadStatus::kBroken;
     }
     is_reading_header_ = false;
-    if (Status() < kContinue) {
+    if (Status() < kContinue || Status() > kLastStatus) {
       co_return ReadStatus::kBroken;
     }
     if (Status() < kFirstFinalStatus &&
