Take an answer with a field line that begins with a blank for broken

Callers saw: an answer whose head had a line like " X-A: v" came as a 200, with that line joined to the field before, for example a seal "s X-A: v" that the target had not sent. " Content-Length: 2" was joined in the same way. It was the same in interim heads, in streams, in answers to HEAD, and in trailers.

Cause: the parser unfolds such lines as the obsolete line folding of HTTP.

Fix: a folded line can't be told from a field whose name begins with a blank, and RFC 9112, section 5.2, lets a gateway answer it with a 502. The reader looks for such a line in the bytes that the parser takes as a head or as a trailer.

Sound interim heads and trailers pass as before.

--- a/src/forward/http_text.cc
+++ b/src/forward/http_text.cc
@@ -113,6 +113,11 @@
   return host;
 }
 
+bool HasFoldedLine(std::string_view lines) {
+  return lines.find("\n ") != std::string_view::npos ||
+         lines.find("\n\t") != std::string_view::npos;
+}
+
 std::string_view PathWithoutQuery(std::string_view target) {
   return target.substr(0, std::min(target.find('?'), target.size()));
 }
--- a/src/forward/http_text.h
+++ b/src/forward/http_text.h
@@ -48,6 +48,11 @@
 /// case, without the port.
 std::string HostWithoutPort(std::string_view field);
 
+/// True if a line of a header or trailer begins with a blank. Its text would
+/// belong to the field before (RFC 9112, section 5.2), also if it was meant as
+/// a field of its own.
+bool HasFoldedLine(std::string_view lines);
+
 /// Returns the path of a request target without the query.
 std::string_view PathWithoutQuery(std::string_view target);
 
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -3,6 +3,8 @@
 #include <limits>
 #include <utility>
 
+#include "forward/http_text.h"
+
 namespace daisypond::forward {
 
 namespace {
@@ -59,6 +61,24 @@
   }
 }
 
+net::ErrorCode ResponseReader::ParseBuffer() {
+  auto& received = connection_->Buffer();
+  const net::asio::const_buffer buf = received.data();
+  const bool had_header = parser_->is_header_done();
+  net::ErrorCode ec;
+  const size_t n = parser_->put(buf, ec);
+  // The parser takes a header, and a last chunk with its trailer, as a whole.
+  const bool has_field_lines = had_header
+                                   ? parser_->chunked() && parser_->is_done()
+                                   : parser_->is_header_done();
+  if (!ec && has_field_lines &&
+      HasFoldedLine({static_cast<const char*>(buf.data()), n})) {
+    ec = bhttp::error::bad_field;
+  }
+  received.consume(n);
+  return ec;
+}
+
 net::asio::awaitable<net::ErrorCode> ResponseReader::Parse() {
   auto& received = connection_->Buffer();
   net::ErrorCode ec;
@@ -66,7 +86,7 @@
     ec = co_await connection_->Receive();
   }
   while (!ec) {
-    received.consume(parser_->put(received.data(), ec));
+    ec = ParseBuffer();
     if (ec != bhttp::error::need_more) {
       co_return ec;
     }
--- a/src/forward/response_reader.h
+++ b/src/forward/response_reader.h
@@ -80,6 +80,8 @@
   /// Passes received bytes to the parser, after waiting for some if there are
   /// none.
   net::asio::awaitable<net::ErrorCode> Parse();
+  /// Passes the bytes of the connection's buffer to the parser.
+  net::ErrorCode ParseBuffer();
 
   std::shared_ptr<TargetConnection> connection_;
   bool has_body_;
