Own interface: take an answer whose head is not valid HTTP for broken

Callers saw, on the product's own interface: an answer in whose head the name of a field held a blank or a control byte came as an answer with the verdict "ran", or as a generation, also with "Content-Length : 2" or "Content-Length\x01: 2", whose length was ignored. The same with lines that begin with a blank, empty names, control bytes in a value or in the reason phrase, two blanks before the status, and statuses 600 and 999.

Cause: libcurl, which reads these answers, does not check the names of fields.

Fix: http::Client passes each line of a head or trailer to ResponseHeadChecker and fails the transfer if the line is not valid (RFC 9112, sections 4 and 5). All answers of targets on this interface, and their load reports, are read through this client. A failed transfer is the loss of the target: a call that may repeat goes elsewhere, another one gets the verdict that it may have run.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -6,6 +6,8 @@
 
 #include <curl/curl.h>
 
+#include "http/response_head_checker.h"
+
 namespace daisypond::http {
 
 namespace {
@@ -36,6 +38,7 @@
   OnChunk on_chunk;
   OnDone on_done;
   ClientResponse response;
+  ResponseHeadChecker head_checker;
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
 
@@ -63,6 +66,8 @@
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Client::OnHeadLine);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Client::OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
@@ -129,6 +134,13 @@
   return answer.get();
 }
 
+size_t Client::OnHeadLine(char* data, size_t size, size_t n, void* exchange) {
+  auto* it = static_cast<Exchange*>(exchange);
+  const size_t bytes = size * n;
+  // Another number than that of the bytes fails the transfer.
+  return it->head_checker.CheckLine({data, bytes}) ? bytes : bytes + 1;
+}
+
 size_t Client::OnBody(char* data, size_t size, size_t n, void* exchange) {
   auto* it = static_cast<Exchange*>(exchange);
   const size_t bytes = size * n;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -21,7 +21,8 @@
 };
 
 /// An HTTP/1.1 client based on libcurl. One thread runs all exchanges and their
-/// callbacks, so callbacks must not block.
+/// callbacks, so callbacks must not block. A response whose head is not valid
+/// HTTP ends as TransferResult::kBroken.
 class Client {
  public:
   /// Called for each chunk of the response body as it arrives.
@@ -54,6 +55,7 @@
   void RemoveCancelledExchanges();
   void CompleteFinishedExchanges();
   void FinishExchange(uint64_t id, ClientResponse response);
+  static size_t OnHeadLine(char* data, size_t size, size_t n, void* exchange);
   static size_t OnBody(char* data, size_t size, size_t n, void* exchange);
 
   void* multi_ = nullptr;
