Count the loss of a target that tears an answer against a call

Callers saw: a request was still passed on to targets long after it had crashed its third target. While it came, up to a third of the sound requests failed.

Cause: Exchange::SuspectedContent named a call's content only if its target was lost before an answer. A target that crashed after the head and a part of the body counted against nothing, on each crash.

Fix: a torn answer counts like a lost connection before it; both mean that the target was lost while it had the call. The answer of a sound call clears what was counted against it, as before.

--- a/meta/broken_answer_stand_ins.py
+++ b/meta/broken_answer_stand_ins.py
@@ -139,6 +139,11 @@
             threading.Thread(target=self.serve, args=(Connection(sock),),
                              daemon=True).start()
 
+    # Refuses connections from now on.
+    def shut_down(self):
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
     def serve(self, connection):
         try:
             while self.script(connection, Head.parse(
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -893,7 +893,8 @@
     if (route_->is_stream) {
       return content_;
     }
-    if (result.reason != base::Reason::kTargetBroken) {
+    if (result.reason != base::Reason::kTargetBroken &&
+        result.reason != base::Reason::kAnswerTorn) {
       return {};
     }
     // Calls without a body are too much alike: one path may serve all lookups
