Block calls without a body that crash targets

Callers saw: a request without a body was still passed on to targets long after it had crashed its third target. While it came, up to two fifths of the sound requests failed.

Cause: Exchange::SuspectedContent named nothing for calls without a body, since one path may serve all lookups of a workspace and the hash covers path, workspace and body.

Fix: the losses count, but such a hash is marked as shared by different requests: it is blocked only when six losses have come since the last answer to any of them, on any instance, and for two minutes after the latest loss. However slowly the request comes, no more than three arrive after the third crash. An answer to a sound call of the path clears the losses, so a path is blocked only while none of its calls is answered. A request that shares its path with sound calls that are answered meanwhile can't be told from them and is not blocked.

Tests: TestCallsWithoutBodyThatCrashTargetsAreBlockedForAWhile, TestAnswerClearsLossesOfCallsWithoutBody. TestCallsWithoutBodyAreNotBlocked (five losses) is unchanged.

--- a/src/forward/crashing_request_tracker.cc
+++ b/src/forward/crashing_request_tracker.cc
@@ -264,12 +264,25 @@
          (is_kept ? kBlockPeriod : kRetentionPeriod);
 }
 
-bool CrashingRequestTracker::IsBlocked(const RequestContent& content,
-                                       base::Millis now) const {
+bool CrashingRequestTracker::IsHashBlocked(const RequestContent& content,
+                                           base::Millis now) const {
   const SuspectId request{SuspectKind::kRequest, content.hash};
   const auto it = suspects_.find(request);
-  if (it != suspects_.end() && IsBlocked(request, it->second) &&
-      !HasExpired(request, it->second, now)) {
+  if (it == suspects_.end()) {
+    return false;
+  }
+  if (content.is_hash_shared) {
+    return CountOf(request, it->second).events >=
+               kLossEventsUntilSharedHashBlocked &&
+           now - it->second.last_lost_at < kPartBlockPeriod;
+  }
+  return IsBlocked(request, it->second) &&
+         !HasExpired(request, it->second, now);
+}
+
+bool CrashingRequestTracker::IsBlocked(const RequestContent& content,
+                                       base::Millis now) const {
+  if (IsHashBlocked(content, now)) {
     return true;
   }
   return std::any_of(
--- a/src/forward/crashing_request_tracker_test.cc
+++ b/src/forward/crashing_request_tracker_test.cc
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(TestAllUnsharedPartsAreSharedInTurn);
   CPPUNIT_TEST(TestPeersKnowThatAPartIsOftenAnswered);
   CPPUNIT_TEST(TestSteadyLossesInADomainAreNotOneEvent);
+  CPPUNIT_TEST(TestCallsWithoutBodyThatCrashTargetsAreBlockedForAWhile);
+  CPPUNIT_TEST(TestAnswerClearsLossesOfCallsWithoutBody);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -332,6 +334,36 @@
                              CrashingRequestTracker::kRetentionPeriod * 2));
   }
 
+  void TestCallsWithoutBodyThatCrashTargetsAreBlockedForAWhile() {
+    constexpr size_t kLosses =
+        CrashingRequestTracker::kLossEventsUntilSharedHashBlocked;
+    constexpr Millis kLast{60'000};
+    CrashingRequestTracker tracker;
+    LoseTargetsOfCallsWithoutBody(&tracker, kLosses - 1, kLast);
+    EXPECT(!tracker.IsBlocked(MakeCallWithoutBody(), kLast));
+    LoseTargetsOfCallsWithoutBody(&tracker, 1, kLast + Millis{1000});
+    const Millis end =
+        kLast + Millis{1000} + CrashingRequestTracker::kPartBlockPeriod;
+    EXPECT(tracker.IsBlocked(MakeCallWithoutBody(), end - Millis{1}));
+    EXPECT(!tracker.IsBlocked(MakeCallWithoutBody(), end));
+    LoseTargetsOfCallsWithoutBody(&tracker, 1, end);
+    EXPECT(tracker.IsBlocked(MakeCallWithoutBody(), end));
+  }
+
+  // Calls of the same path are answered, so it is not the path that crashes
+  // targets.
+  void TestAnswerClearsLossesOfCallsWithoutBody() {
+    constexpr size_t kLosses =
+        CrashingRequestTracker::kLossEventsUntilSharedHashBlocked;
+    CrashingRequestTracker tracker;
+    for (int64_t i = 1; i <= 4; ++i) {
+      const Millis at{i * 20'000};
+      LoseTargetsOfCallsWithoutBody(&tracker, kLosses - 1, at);
+      tracker.OnRequestAnswered(MakeCallWithoutBody(), at, at);
+      EXPECT(!tracker.IsBlocked(MakeCallWithoutBody(), at));
+    }
+  }
+
   void TestSteadyLossesInADomainAreNotOneEvent() {
     CrashingRequestTracker tracker;
     for (int64_t i = 0; i < 10; ++i) {
@@ -346,6 +378,23 @@
   static constexpr uint64_t kDeadlyPart = 1002;
 
   /// Two requests crash two targets each, a second apart.
+  static RequestContent MakeCallWithoutBody() {
+    RequestContent content = MakeRequest(1);
+    content.is_hash_shared = true;
+    return content;
+  }
+
+  /// Loses `n` targets one after the other, the last one at `until`.
+  static void LoseTargetsOfCallsWithoutBody(CrashingRequestTracker * tracker,
+                                            size_t n, Millis until) {
+    for (size_t i = 0; i < n; ++i) {
+      const Millis at = until - Millis{static_cast<int64_t>(n - i - 1) * 1000};
+      tracker->OnTargetLost(MakeCallWithoutBody(),
+                            {{"a", at.count}, "s", "d" + std::to_string(i % 4)},
+                            at);
+    }
+  }
+
   static void LoseFourTargets(CrashingRequestTracker * tracker,
                               const std::vector<uint64_t>& parts) {
     for (int64_t i = 0; i < 4; ++i) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -186,7 +186,7 @@
                     StoppingRetryAfter());
     }
     SetService(ChooseService());
-    has_body_ = !request_.Body().empty();
+    content_.is_hash_shared = request_.Body().empty() && !route_->is_stream;
     content_.prompt_parts = request_info_.shared_prompt_parts;
     content_.hash = base::HashOfAll(
         {PathWithoutQuery(request_.target), "\n",
@@ -890,16 +890,11 @@
         (run_began_at_ && now - *run_began_at_ >= kCrashAttributionPeriod)) {
       return {};
     }
-    if (route_->is_stream) {
-      return content_;
-    }
-    if (result.reason != base::Reason::kTargetBroken &&
-        result.reason != base::Reason::kAnswerTorn) {
-      return {};
-    }
-    // Calls without a body are too much alike: one path may serve all lookups
-    // of a workspace.
-    return {has_body_ ? content_.hash : 0, content_.prompt_parts};
+    const bool is_connection_lost =
+        result.reason == base::Reason::kTargetBroken ||
+        result.reason == base::Reason::kAnswerTorn;
+    return route_->is_stream || is_connection_lost ? content_
+                                                   : RequestContent();
   }
 
   bool MayCopyRuns() const {
@@ -1982,9 +1977,6 @@
   const catalog::EngineTraits* engine_traits_ = nullptr;
   std::string service_name_;
   RequestContent content_;
-  /// True when the request came with a body. It is given back before the answer
-  /// is written.
-  bool has_body_ = false;
   std::string workspace_;
   /// Software version of the target that sent the first event.
   std::optional<std::string> stream_version_;
--- a/src/forward/request_content.h
+++ b/src/forward/request_content.h
@@ -15,6 +15,9 @@
   /// Hashes of the parts of the prompt that other requests may have as well, in
   /// order.
   std::vector<uint64_t> prompt_parts;
+  /// True if requests that differ have the same hash: one path may serve all
+  /// lookups of a workspace, which have no body.
+  bool is_hash_shared = false;
 
   bool IsEmpty() const { return hash == 0 && prompt_parts.empty(); }
 };
