Block streams that crash targets after a long run

Callers saw: a stream that crashed its targets 1.2 s after it had begun was still passed on to targets long after it had crashed the third.

Cause: the loss of a target that had run a stream for kCrashAttributionPeriod (1 s) counted against nothing, and the first second of the next run cleared what had been counted. The reason is real: most streams at a target that is lost have run for a while and are harmless.

Fix: such losses count against a content of their own, as weak evidence, like those of calls without a body: six of them since the last answer block the stream, for two minutes after the latest. Only the end of a stream, not its first second, clears them. A harmless stream is blocked only if six targets are lost under it, without a common cause, before it ends once. What is suspected after a failed send is decided in suspected_content.h, out of Exchange.

--- a/src/forward/crashing_request_tracker.cc
+++ b/src/forward/crashing_request_tracker.cc
@@ -271,9 +271,8 @@
   if (it == suspects_.end()) {
     return false;
   }
-  if (content.is_hash_shared) {
-    return CountOf(request, it->second).events >=
-               kLossEventsUntilSharedHashBlocked &&
+  if (content.is_loss_weak) {
+    return CountOf(request, it->second).events >= kWeakLossEventsUntilBlocked &&
            now - it->second.last_lost_at < kPartBlockPeriod;
   }
   return IsBlocked(request, it->second) &&
--- a/src/forward/crashing_request_tracker.h
+++ b/src/forward/crashing_request_tracker.h
@@ -52,9 +52,9 @@
   /// A request is also blocked when this many losses count against it, of which
   /// those with the same common cause count once.
   static constexpr size_t kLossEventsUntilBlocked = 5;
-  /// Requests that share a hash are blocked when this many losses since their
-  /// last answer count against it.
-  static constexpr size_t kLossEventsUntilSharedHashBlocked = 6;
+  /// Content whose losses are weak is blocked when this many of them have come
+  /// since its last answer.
+  static constexpr size_t kWeakLossEventsUntilBlocked = 6;
   /// A prompt part is blocked when its losses, less the weight of its answers,
   /// are at least this many.
   static constexpr int kScoreUntilPartBlocked = 4;
@@ -74,8 +74,8 @@
   /// How long after its latest loss a request is blocked, and how long a prompt
   /// part is tracked.
   static constexpr base::Millis kBlockPeriod{600'000};
-  /// How long after its latest loss a prompt part or a shared hash is blocked.
-  /// After that, the next loss blocks it again.
+  /// How long after its latest loss a prompt part or content with weak losses
+  /// is blocked. After that, the next loss blocks it again.
   static constexpr base::Millis kPartBlockPeriod{120'000};
   /// Another part may be blamed for the losses of a blocked part only within
   /// this time. Reports of the losses and answers of that time arrive later.
--- a/src/forward/crashing_request_tracker_test.cc
+++ b/src/forward/crashing_request_tracker_test.cc
@@ -336,7 +336,7 @@
 
   void TestCallsWithoutBodyThatCrashTargetsAreBlockedForAWhile() {
     constexpr size_t kLosses =
-        CrashingRequestTracker::kLossEventsUntilSharedHashBlocked;
+        CrashingRequestTracker::kWeakLossEventsUntilBlocked;
     constexpr Millis kLast{60'000};
     CrashingRequestTracker tracker;
     LoseTargetsOfCallsWithoutBody(&tracker, kLosses - 1, kLast);
@@ -354,7 +354,7 @@
   // targets.
   void TestAnswerClearsLossesOfCallsWithoutBody() {
     constexpr size_t kLosses =
-        CrashingRequestTracker::kLossEventsUntilSharedHashBlocked;
+        CrashingRequestTracker::kWeakLossEventsUntilBlocked;
     CrashingRequestTracker tracker;
     for (int64_t i = 1; i <= 4; ++i) {
       const Millis at{i * 20'000};
@@ -380,7 +380,7 @@
   /// Two requests crash two targets each, a second apart.
   static RequestContent MakeCallWithoutBody() {
     RequestContent content = MakeRequest(1);
-    content.is_hash_shared = true;
+    content.is_loss_weak = true;
     return content;
   }
 
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -27,6 +27,7 @@
 #include "forward/response_reader.h"
 #include "forward/run_copy.h"
 #include "forward/send_tracker.h"
+#include "forward/suspected_content.h"
 #include "forward/take_permit.h"
 #include "forward/target_call.h"
 
@@ -186,7 +187,7 @@
                     StoppingRetryAfter());
     }
     SetService(ChooseService());
-    content_.is_hash_shared = request_.Body().empty() && !route_->is_stream;
+    content_.is_loss_weak = request_.Body().empty() && !route_->is_stream;
     content_.prompt_parts = request_info_.shared_prompt_parts;
     content_.hash = base::HashOfAll(
         {PathWithoutQuery(request_.target), "\n",
@@ -508,7 +509,10 @@
 
   /// True when the request is suspected to crash targets.
   bool IsBlocked() const {
-    return forwarder_->crashing_requests.IsBlocked(content_, Clock::Now());
+    const Millis now = Clock::Now();
+    return forwarder_->crashing_requests.IsBlocked(content_, now) ||
+           (route_->is_stream && forwarder_->crashing_requests.IsBlocked(
+                                     LongRunContent(content_), now));
   }
 
   /// True when the request may wait until a target becomes available. Only a
@@ -865,7 +869,7 @@
         {{placement.id, placement.started_at},
          service_name_,
          placement.failure_domain},
-        SuspectedContent(result, now),
+        SuspectedContent(content_, FailedSendOf(result, now)),
         result.reason == base::Reason::kTargetUnreachable
             ? LossKind::kConnectFailed
             : LossKind::kRequestFailed,
@@ -883,18 +887,12 @@
            forwarder_->path_monitor.Path().IsLossExplained(service_name_);
   }
 
-  /// Returns what of the request may have crashed the target: nothing if the
-  /// target had run the request for some time.
-  RequestContent SuspectedContent(const SendResult& result, Millis now) const {
-    if (result.outcome != SendOutcome::kUnknown ||
-        (run_began_at_ && now - *run_began_at_ >= kCrashAttributionPeriod)) {
-      return {};
+  FailedSend FailedSendOf(const SendResult& result, Millis now) const {
+    FailedSend send{route_->is_stream, result.outcome, result.reason, {}};
+    if (run_began_at_) {
+      send.ran_for = now - *run_began_at_;
     }
-    const bool is_connection_lost =
-        result.reason == base::Reason::kTargetBroken ||
-        result.reason == base::Reason::kAnswerTorn;
-    return route_->is_stream || is_connection_lost ? content_
-                                                   : RequestContent();
+    return send;
   }
 
   bool MayCopyRuns() const {
@@ -1741,6 +1739,7 @@
     active_connection_.reset();
     forwarder_->selector.OnSuccess(placement.id, Clock::Now());
     RecordAnswer();
+    forwarder_->OnRequestAnswered(LongRunContent(content_), Clock::Now());
     LogAnswer(reader->Status(), base::Reason::kNone);
     const std::string last(kLastChunk);
     const ConnectionReuse written = co_await WriteToCaller(last, reuse);
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -91,7 +91,7 @@
 /// Time allowed for the answer to a probe. Probes need no free slot at the
 /// target and are answered within a few round trips.
 inline constexpr base::Millis kProbeTimeout{300};
-/// A run that has delivered events for this long has not crashed its target.
+/// A run that has delivered events for this long has hardly crashed its target.
 inline constexpr base::Millis kCrashAttributionPeriod{1000};
 /// Expected durations of a stream and of a call (a request without a stream). A
 /// stopping instance uses them to decide whether it can finish a new request.
--- a/src/forward/request_content.h
+++ b/src/forward/request_content.h
@@ -15,9 +15,10 @@
   /// Hashes of the parts of the prompt that other requests may have as well, in
   /// order.
   std::vector<uint64_t> prompt_parts;
-  /// True if requests that differ have the same hash: one path may serve all
-  /// lookups of a workspace, which have no body.
-  bool is_hash_shared = false;
+  /// True if the loss of a target says little about the request: the target had
+  /// run it for some time, or different requests have the same hash, as one
+  /// path may serve all lookups of a workspace, which have no body.
+  bool is_loss_weak = false;
 
   bool IsEmpty() const { return hash == 0 && prompt_parts.empty(); }
 };
