--- a/src/forward/http_text.h
+++ b/src/forward/http_text.h
@@ -49,8 +49,8 @@
 std::string HostWithoutPort(std::string_view field);
 
 /// True if a line of a header or trailer begins with whitespace. That is the
-/// obsolete folding of a field's value (RFC 9112, section 5.2), or a field whose
-/// name is not valid.
+/// obsolete folding of a field's value (RFC 9112, section 5.2), or a field
+/// whose name is not valid.
 bool HasFoldedLine(std::string_view lines);
 
 /// Returns the path of a request target without the query.
