--- a/meta/deadly_request_test.py
+++ b/meta/deadly_request_test.py
@@ -6,7 +6,10 @@
 it resets all its connections and is back RESTART_S later as another process,
 under another id. Beside that, callers send sound requests. Late arrivals are
 those of the deadly request later than CONTACT_S after the third crash; at most
-MAXIMUM_LATE are allowed. Sound requests must be served again afterwards.
+MAXIMUM_LATE are allowed. Sound calls, with and without a body, and sound streams
+must never be refused as suspected, though targets are lost under them, and must
+be served again afterwards. In the case different_requests no two deadly requests
+are alike, so that the crashes go on.
 """
 import argparse
 import pathlib
@@ -27,7 +30,8 @@
 CONTACT_S = 3
 MAXIMUM_LATE = 3
 DEADLY_PERIOD_S, SOUND_PERIOD_S = 0.5, 0.125
-SOUND_CONTENTS = 8
+SOUND_CONTENTS = 4
+SOUND_EVENTS = 12
 # Time in which all targets are up again, and a share of sound requests that
 # must be served after that.
 CALM_S, SERVED_SHARE = 4, 0.95
@@ -82,10 +86,26 @@
 
 
 # Method, route, body and moment of the crash.
+# Sends a stream that runs for longer than the deadly one.
+def answer_stream(connection, head, name):
+    connection.read_exactly(head.length())
+    connection.send(HEAD.replace(b"%s", name) +
+                    b"Content-Type: text/event-stream\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n")
+    first = int(head.fields.get("last-event-id", 0)) + 1
+    for n in range(first, SOUND_EVENTS + 1):
+        event = b"id: %d\ndata: x\n\n" % n
+        connection.send(b"%x\r\n%s\r\n" % (len(event), event))
+        time.sleep(EVENT_GAP_S)
+    connection.send(b"0\r\n\r\n")
+    return True
+
+
 CASES = {
     "head": ("POST", "idem", b"deadly", crash_at_head),
     "torn_body": ("POST", "idem", b"deadly", crash_in_body),
     "no_body": ("GET", "idem", b"", crash_at_head),
+    "different_requests": ("POST", "idem", None, crash_at_head),
     "late_in_stream": ("POST", "stream", b"deadly", crash_late_in_stream),
 }
 
@@ -128,6 +148,8 @@
         if head.first[1].endswith("/deadly"):
             self.test.on_deadly_arrival()
             self.test.crash(connection, head, name)
+        if head.first[1].startswith("/stream/"):
+            return answer_stream(connection, head, name)
         connection.read_exactly(head.length())
         connection.send(HEAD.replace(b"%s", name) +
                         b"Content-Length: 2\r\n\r\nok")
@@ -155,6 +177,8 @@
         self.crashes, self.arrivals, self.threads = [], [], []
         # Time and whether it was served, of each sound request.
         self.sound = []
+        # Sound requests that were refused as suspected.
+        self.suspected = []
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="daisypond-deadly-"))
         self.tables = Tables()
         self.tables.put("op", "config", configuration())
@@ -192,14 +216,21 @@
             f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
 
     def send_deadly(self):
-        self.send(self.method, f"/{self.route}/deadly", self.body)
+        body = new_id().encode() if self.body is None else self.body
+        self.send(self.method, f"/{self.route}/deadly", body)
 
     def send_sound(self):
         began = time.monotonic()
         content = self.rng.randrange(SOUND_CONTENTS)
-        answer = self.send("POST", f"/idem/sound{content}", b"sound")
+        method, route, body = self.rng.choice((
+            ("POST", "idem", b"sound"), ("GET", "idem", b""),
+            ("POST", "stream", b"sound")))
+        answer = self.send(method, f"/{route}/{method}{content}", body)
         with self.lock:
-            self.sound.append((began, answer.status == 200))
+            self.sound.append(
+                (began, answer.status == 200 and answer.is_complete))
+            if b"condemned" in answer.body or b"suspected" in answer.body:
+                self.suspected.append(f"{method} {route} {content}")
 
     # Calls `send` in a thread of its own each `period_s` until `end`.
     def repeat(self, send, period_s, end):
@@ -233,12 +264,14 @@
                 if len(crashes) >= 3 and it > crashes[2] + CONTACT_S]
         calm = [is_served for at, is_served in self.sound if at > calm_at]
         before = [is_served for at, is_served in self.sound if at <= calm_at]
-        holds = (len(late) <= MAXIMUM_LATE and
+        holds = ((self.body is None or len(late) <= MAXIMUM_LATE) and
+                 not self.suspected and
                  sum(calm) >= SERVED_SHARE * len(calm))
         print(f"{'ok' if holds else 'FAILED'}: {len(crashes)} crashes, "
               f"{len(late)} late arrivals of {MAXIMUM_LATE} allowed; "
               f"{sum(before)} of {len(before)} sound requests served meanwhile, "
-              f"{sum(calm)} of {len(calm)} afterwards; logs in {self.folder}")
+              f"{sum(calm)} of {len(calm)} afterwards, refused as suspected: "
+              f"{self.suspected}; logs in {self.folder}")
         return 0 if holds else 1
 
 
