Log requests that were not written as a whole

send_ended does not tell whether a target can have got the whole request. request_unwritten says how far the write of a request had got when its send ended, and why it ended.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -977,6 +977,7 @@
                         ? SendInterruption::kForbidden
                         : SendInterruption::kAllowed);
     SendResult result = co_await ReadAnswer(placement, connection);
+    LogPartialWrite(placement, *connection);
     forwarder_->path_monitor.OnSendEnded(
         connection, result.reason == base::Reason::kTargetBroken
                         ? ReadStatus::kBroken
@@ -1914,6 +1915,21 @@
          {"took_ms", took.count}});
   }
 
+  /// Logs a request of which the target can't have got all bytes.
+  void LogPartialWrite(const Placement& placement,
+                       const TargetConnection& connection) const {
+    if (connection.IsWriteDone() && !connection.WriteError()) {
+      return;
+    }
+    base::Log(base::LogLevel::kInfo, "request_unwritten",
+              {{"request", request_info_.id},
+               {"target", placement.id},
+               {"in_progress", !connection.IsWriteDone()},
+               {"written_bytes", connection.WrittenBytes()},
+               {"total_bytes", connection.TotalBytes()},
+               {"error", connection.WriteError().message()}});
+  }
+
   void LogAnswerWithoutEnd(const Placement& placement,
                            AnswerPart part,
                            size_t n_bytes,
--- a/src/forward/target_connection.cc
+++ b/src/forward/target_connection.cc
@@ -42,6 +42,8 @@
   is_write_done_ = false;
   write_error_.clear();
   written_bytes_ = 0;
+  total_bytes_ =
+      write_header_.size() + (write_body_ == nullptr ? 0 : write_body_->size());
   ++request_count_;
   net::asio::async_write(
       socket_.Raw(),
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -58,6 +58,16 @@
 
   bool IsWriteDone() const { return is_write_done_; }
 
+  /// Why the last write has ended early; no error while it is in progress.
+  const net::ErrorCode& WriteError() const { return write_error_; }
+
+  /// Number of bytes that the last write has passed to the system; zero while
+  /// it is in progress.
+  size_t WrittenBytes() const { return written_bytes_; }
+
+  /// Size of the last request in bytes.
+  size_t TotalBytes() const { return total_bytes_; }
+
   /// True when the write has ended, with an error, before any byte was written.
   bool HasWrittenNothing() const {
     return is_write_done_ && written_bytes_ == 0;
@@ -121,6 +131,7 @@
   /// Set if the last write has ended with an error.
   net::ErrorCode write_error_;
   size_t written_bytes_ = 0;
+  size_t total_bytes_ = 0;
   int request_count_ = 0;
   bool is_abandoned_ = false;
 };
