A socket's deadline for each direction: read timeouts no longer cut uploads

Beside it: a sound target that reads 4.19 MB at 0.6 MB/s gets 3.95 MB and then nothing, and the caller 504.

Cause: TimedSocket's deadline cancelled all operations of the socket, so the deadline of reading the answer ended the write of the body. StartWrite took any end of the write for its completion, and the connection was reused.

Change: OperationDeadline cancels one operation; a socket has one for reads and one for writes and connects. A connection is reused only if its last request was written as a whole, also for calls of the instance itself.

--- a/src/forward/caller_connection.cc
+++ b/src/forward/caller_connection.cc
@@ -25,11 +25,11 @@
 
 net::asio::awaitable<bool> CallerConnection::Write(std::string_view bytes,
                                                    base::Millis deadline) {
-  socket_.SetDeadline(deadline);
+  socket_.WriteDeadline().Set(deadline);
   const auto [ec, n] = co_await net::asio::async_write(
       socket_.Raw(), net::asio::buffer(bytes.data(), bytes.size()),
-      net::kAsTuple);
-  socket_.ClearDeadline();
+      socket_.WriteDeadline().Token());
+  socket_.WriteDeadline().Clear();
   if (ec) {
     OnWriteFailed(ec);
   }
@@ -37,8 +37,9 @@
 }
 
 void CallerConnection::OnWriteFailed(const net::ErrorCode& ec) {
-  OnDisconnected(socket_.HasTimedOut() ? DisconnectSign::kWriteTimedOut
-                                       : DisconnectSign::kWriteFailed,
+  OnDisconnected(socket_.WriteDeadline().HasPassed()
+                     ? DisconnectSign::kWriteTimedOut
+                     : DisconnectSign::kWriteFailed,
                  ec);
 }
 
@@ -53,10 +54,11 @@
       n_left_of_piece = std::min(bytes.size(), kWritePieceBytes);
       deadline = base::Clock::Now() + timeout;
     }
-    socket_.SetDeadline(deadline);
+    socket_.WriteDeadline().Set(deadline);
     const auto [ec, n] = co_await socket_.Raw().async_write_some(
-        net::asio::buffer(bytes.data(), n_left_of_piece), net::kAsTuple);
-    socket_.ClearDeadline();
+        net::asio::buffer(bytes.data(), n_left_of_piece),
+        socket_.WriteDeadline().Token());
+    socket_.WriteDeadline().Clear();
     if (ec) {
       OnWriteFailed(ec);
       co_return false;
@@ -103,8 +105,8 @@
           return;
         }
         if (ec == net::asio::error::operation_aborted) {
-          // When the deadline of a write passes, all pending operations of the
-          // socket are cancelled, including this wait.
+          // All pending operations of the socket were cancelled, not only this
+          // wait.
           if (self->socket_.Raw().is_open()) {
             self->WaitForReadable(generation);
           }
--- a/src/forward/connect_target.cc
+++ b/src/forward/connect_target.cc
@@ -56,8 +56,8 @@
   }
   // The monitor cancels connects when the path is lost.
   const bool is_cancelled = ec == net::asio::error::operation_aborted &&
-                            !connection->Socket().HasTimedOut();
-  const bool is_short = connection->Socket().HasTimedOut() &&
+                            !connection->Socket().WriteDeadline().HasPassed();
+  const bool is_short = connection->Socket().WriteDeadline().HasPassed() &&
                         base::Clock::Now() - began_at < kMinimumConnectTime;
   if (!is_cancelled && !is_short) {
     monitor.OnConnectFailed(connection->Target());
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -1230,7 +1230,7 @@
                     const ResponseReader& reader,
                     bool is_body_complete) {
     if (is_body_complete && reader.HasDelimitedBody() && reader.IsKeptAlive() &&
-        connection->IsWriteDone() && connection->IsBetweenResponses()) {
+        connection->IsReadyForRequest()) {
       forwarder_->path_monitor.ReturnIdle(connection);
     } else {
       connection->Socket().Close();
--- a/src/forward/request_reader.cc
+++ b/src/forward/request_reader.cc
@@ -438,12 +438,13 @@
     co_return tl::unexpected(RequestReadError::kStalled);
   }
   net::TimedSocket& socket = connection_->Socket();
-  socket.SetDeadline(reception->Deadline(base::Clock::Now()));
+  socket.ReadDeadline().Set(reception->Deadline(base::Clock::Now()));
   const auto [ec, n] =
-      co_await socket.Raw().async_read_some(buf, net::kAsTuple);
-  socket.ClearDeadline();
+      co_await socket.Raw().async_read_some(buf, socket.ReadDeadline().Token());
+  socket.ReadDeadline().Clear();
   if (ec) {
-    const bool is_too_slow = reception->is_evicted || socket.HasTimedOut();
+    const bool is_too_slow =
+        reception->is_evicted || socket.ReadDeadline().HasPassed();
     if (is_too_slow && !reception->is_evicted) {
       room_->OnClosedForSlowness(base::Clock::Now());
     }
--- a/src/forward/response_reader.cc
+++ b/src/forward/response_reader.cc
@@ -28,7 +28,7 @@
 
 net::asio::awaitable<ReadStatus> ResponseReader::ReadHeader(
     base::Millis deadline) {
-  net::TimedSocket& socket = connection_->Socket();
+  net::OperationDeadline& read_deadline = connection_->Socket().ReadDeadline();
   while (true) {
     if (!is_reading_header_) {
       parser_.emplace();
@@ -37,15 +37,15 @@
       parser_->skip(!has_body_);
       is_reading_header_ = true;
     }
-    socket.SetDeadline(deadline);
+    read_deadline.Set(deadline);
     net::ErrorCode ec;
     while (!ec && !parser_->is_header_done()) {
       ec = co_await Parse();
     }
-    socket.ClearDeadline();
+    read_deadline.Clear();
     if (ec) {
-      co_return socket.HasTimedOut() ? ReadStatus::kTimedOut
-                                     : ReadStatus::kBroken;
+      co_return read_deadline.HasPassed() ? ReadStatus::kTimedOut
+                                          : ReadStatus::kBroken;
     }
     is_reading_header_ = false;
     if (Status() < kContinue || Status() > kLastStatus) {
@@ -110,17 +110,17 @@
   body.data = buf.data();
   body.size = buf.size();
   body.more = true;
-  net::TimedSocket& socket = connection_->Socket();
-  socket.SetDeadline(deadline);
+  net::OperationDeadline& read_deadline = connection_->Socket().ReadDeadline();
+  read_deadline.Set(deadline);
   net::ErrorCode ec = co_await Parse();
-  socket.ClearDeadline();
+  read_deadline.Clear();
   into->append(buf.data(), buf.size() - body.size);
   if (ec == bhttp::error::need_buffer) {
     ec = {};
   }
   if (ec) {
-    co_return socket.HasTimedOut() ? ReadStatus::kTimedOut
-                                   : ReadStatus::kBroken;
+    co_return read_deadline.HasPassed() ? ReadStatus::kTimedOut
+                                        : ReadStatus::kBroken;
   }
   co_return parser_->is_done() ? ReadStatus::kDone : ReadStatus::kMore;
 }
--- a/src/forward/session.h
+++ b/src/forward/session.h
@@ -106,11 +106,12 @@
     // Most callers send the next request soon after an answer.
     const base::Millis buffer_until =
         has_served_ ? idle_since_ + kIdleBufferTime : idle_since_;
-    net::TimedSocket& socket = connection_->Socket();
+    net::OperationDeadline& read_deadline =
+        connection_->Socket().ReadDeadline();
     while (connection_->Buffer().size() == 0) {
       const bool is_buffered = base::Clock::Now() < buffer_until;
-      socket.SetDeadline(is_buffered ? buffer_until
-                                     : idle_since_ + Limits().idle_timeout);
+      read_deadline.Set(is_buffered ? buffer_until
+                                    : idle_since_ + Limits().idle_timeout);
       // GCC 12 mishandles co_await in a conditional expression.
       net::ErrorCode ec;
       if (is_buffered) {
@@ -118,8 +119,8 @@
       } else {
         ec = co_await WaitForInput();
       }
-      socket.ClearDeadline();
-      const bool is_interrupted = is_ending_ || socket.HasTimedOut();
+      read_deadline.Clear();
+      const bool is_interrupted = is_ending_ || read_deadline.HasPassed();
       if (ec && !(is_interrupted && MayKeepWaiting())) {
         co_return false;
       }
@@ -130,8 +131,10 @@
   }
 
   net::asio::awaitable<net::ErrorCode> ReadSome() {
-    const auto [ec, n] = co_await connection_->Socket().Raw().async_read_some(
-        connection_->Buffer().prepare(kReadBytes), net::kAsTuple);
+    net::TimedSocket& socket = connection_->Socket();
+    const auto [ec, n] = co_await socket.Raw().async_read_some(
+        connection_->Buffer().prepare(kReadBytes),
+        socket.ReadDeadline().Token());
     connection_->Buffer().commit(n);
     co_return ec;
   }
@@ -139,8 +142,9 @@
   /// Waits for the first bytes without a buffer for them, then reads them.
   net::asio::awaitable<net::ErrorCode> WaitForInput() {
     connection_->Buffer().shrink_to_fit();
-    const auto [ec] = co_await connection_->Socket().Raw().async_wait(
-        net::Tcp::socket::wait_read, net::kAsTuple);
+    net::TimedSocket& socket = connection_->Socket();
+    const auto [ec] = co_await socket.Raw().async_wait(
+        net::Tcp::socket::wait_read, socket.ReadDeadline().Token());
     if (ec) {
       co_return ec;
     }
@@ -244,12 +248,13 @@
     net::ErrorCode ec;
     state_ = SessionState::kClosing;
     socket.Raw().shutdown(net::Tcp::socket::shutdown_send, ec);
-    socket.SetDeadline(base::Clock::Now() + kCloseTimeout);
+    socket.ReadDeadline().Set(base::Clock::Now() + kCloseTimeout);
     connection_->Buffer() = boost::beast::flat_buffer();
     const size_t maximum = Limits().body_bytes + Limits().header_bytes;
-    while (!ec && !socket.HasTimedOut() && discarded_bytes_ <= maximum) {
+    while (!ec && !socket.ReadDeadline().HasPassed() &&
+           discarded_bytes_ <= maximum) {
       const auto [read_ec, n] = co_await socket.Raw().async_read_some(
-          net::asio::buffer(DiscardBuffer()), net::kAsTuple);
+          net::asio::buffer(DiscardBuffer()), socket.ReadDeadline().Token());
       ec = read_ec;
       if (n > 0) {
         discarded_bytes_ += n;
--- a/src/forward/target_call.cc
+++ b/src/forward/target_call.cc
@@ -45,7 +45,7 @@
   answer.status = reader.Status();
   answer.fields = reader.Fields();
   if (reader.HasDelimitedBody() && reader.IsKeptAlive() &&
-      connection->IsBetweenResponses()) {
+      connection->IsReadyForRequest()) {
     forwarder->path_monitor.ReturnIdle(connection);
   } else {
     connection->Socket().Close();
--- a/src/forward/target_connection.cc
+++ b/src/forward/target_connection.cc
@@ -96,7 +96,7 @@
         net::asio::error::no_buffer_space);
   }
   const auto [ec, n] = co_await socket_.Raw().async_read_some(
-      buffer_.prepare(size), net::kAsTuple);
+      buffer_.prepare(size), socket_.ReadDeadline().Token());
   buffer_.commit(n);
   last_heard_at = n > 0 ? base::Clock::Now() : last_heard_at;
   co_return ec;
@@ -110,7 +110,7 @@
       co_return net::asio::error::make_error_code(net::asio::error::eof);
     }
     const auto [ec, n] = co_await socket_.Raw().async_read_some(
-        net::asio::buffer(buf), net::kAsTuple);
+        net::asio::buffer(buf), socket_.ReadDeadline().Token());
     if (ec) {
       co_return ec == net::asio::error::eof
           ? net::asio::error::make_error_code(
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -50,10 +50,10 @@
   /// carries the target's bytes.
   void OnTunnelOpened(tunnel::Framing framing);
 
-  /// True when no bytes have arrived beyond the response that was read last.
-  bool IsBetweenResponses() const {
-    return buffer_.size() == 0 && (!decoder_ || (decoder_->IsBetweenFrames() &&
-                                                 !decoder_->HasEnded()));
+  /// True when the last request has been written as a whole and no bytes have
+  /// arrived beyond the response that was read last.
+  bool IsReadyForRequest() const {
+    return is_write_done_ && !write_error_ && IsBetweenResponses();
   }
 
   bool IsWriteDone() const { return is_write_done_; }
@@ -114,6 +114,12 @@
   base::Millis idle_since;
 
  private:
+  /// True when no bytes have arrived beyond the response that was read last.
+  bool IsBetweenResponses() const {
+    return buffer_.size() == 0 && (!decoder_ || (decoder_->IsBetweenFrames() &&
+                                                 !decoder_->HasEnded()));
+  }
+
   /// Reads from the socket into Buffer().
   net::asio::awaitable<net::ErrorCode> ReceiveBytes();
   /// Reads frames from the socket and appends their data to Buffer().
--- a/src/net/http_call_client.cc
+++ b/src/net/http_call_client.cc
@@ -46,7 +46,8 @@
 }
 
 HttpCallError HttpCallClient::CloseAfterError() {
-  const bool has_timed_out = socket_->HasTimedOut();
+  const bool has_timed_out = socket_->WriteDeadline().HasPassed() ||
+                             socket_->ReadDeadline().HasPassed();
   socket_.reset();
   return has_timed_out ? HttpCallError::kTimedOut : HttpCallError::kBroken;
 }
@@ -57,7 +58,7 @@
   base::Millis present = deadline;
   while (!parser->is_done()) {
     const auto [ec, n] = co_await bhttp::async_read_some(
-        socket_->Raw(), buffer_, *parser, kAsTuple);
+        socket_->Raw(), buffer_, *parser, socket_->ReadDeadline().Token());
     if (ec) {
       co_return ec;
     }
@@ -65,7 +66,7 @@
     const base::Millis next =
         ResponseDeadline(deadline, received_bytes_, base::Clock::Now());
     if (next > present) {
-      socket_->SetDeadline(next);
+      socket_->ReadDeadline().Set(next);
       present = next;
     }
   }
@@ -76,23 +77,25 @@
 HttpCallClient::SendOnce(const Request& request, base::Millis deadline) {
   received_bytes_ = 0;
   if (socket_ == nullptr && !co_await OpenConnection(deadline)) {
-    const bool has_timed_out = socket_->HasTimedOut();
+    const bool has_timed_out = socket_->WriteDeadline().HasPassed();
     socket_.reset();
     co_return tl::unexpected(has_timed_out ? HttpCallError::kTimedOut
                                            : HttpCallError::kUnreachable);
   }
-  socket_->SetDeadline(deadline);
-  const auto [write_ec, written] =
-      co_await bhttp::async_write(socket_->Raw(), request, kAsTuple);
+  socket_->WriteDeadline().Set(deadline);
+  const auto [write_ec, written] = co_await bhttp::async_write(
+      socket_->Raw(), request, socket_->WriteDeadline().Token());
+  socket_->WriteDeadline().Clear();
   if (write_ec) {
     co_return tl::unexpected(CloseAfterError());
   }
+  socket_->ReadDeadline().Set(deadline);
   bhttp::response_parser<bhttp::string_body> parser;
   parser.body_limit(kMaximumResponseBytes);
   if (co_await ReadResponse(&parser, deadline)) {
     co_return tl::unexpected(CloseAfterError());
   }
-  socket_->ClearDeadline();
+  socket_->ReadDeadline().Clear();
   if (!parser.keep_alive()) {
     socket_.reset();
   }
--- a/src/net/timed_socket.cc
+++ b/src/net/timed_socket.cc
@@ -46,37 +46,12 @@
 }  // namespace
 
 TimedSocket::TimedSocket(const asio::any_io_executor& executor)
-    : socket_(executor),
-      timer_(executor),
-      generation_(std::make_shared<uint64_t>(0)) {}
+    : socket_(executor), read_deadline_(executor), write_deadline_(executor) {}
 
 TimedSocket::TimedSocket(Tcp::socket socket)
     : socket_(std::move(socket)),
-      timer_(socket_.get_executor()),
-      generation_(std::make_shared<uint64_t>(0)) {}
-
-TimedSocket::~TimedSocket() {
-  ++*generation_;
-}
-
-void TimedSocket::SetDeadline(base::Millis deadline) {
-  has_timed_out_ = false;
-  const uint64_t generation = ++*generation_;
-  timer_.expires_at(std::chrono::steady_clock::time_point(deadline.ToChrono()));
-  timer_.async_wait([this, generation, current = generation_](ErrorCode ec) {
-    if (ec || *current != generation) {
-      return;
-    }
-    has_timed_out_ = true;
-    ErrorCode ignored;
-    socket_.cancel(ignored);
-  });
-}
-
-void TimedSocket::ClearDeadline() {
-  ++*generation_;
-  timer_.cancel();
-}
+      read_deadline_(socket_.get_executor()),
+      write_deadline_(socket_.get_executor()) {}
 
 void TimedSocket::SetTcpOptions(DeadPeerDetection detection) {
   const int fd = socket_.native_handle();
@@ -97,14 +72,16 @@
   if (!endpoint) {
     co_return asio::error::make_error_code(asio::error::invalid_argument);
   }
-  SetDeadline(deadline);
-  const auto [ec] = co_await socket_.async_connect(*endpoint, kAsTuple);
-  ClearDeadline();
+  write_deadline_.Set(deadline);
+  const auto [ec] =
+      co_await socket_.async_connect(*endpoint, write_deadline_.Token());
+  write_deadline_.Clear();
   co_return ec;
 }
 
 void TimedSocket::Close() {
-  ClearDeadline();
+  read_deadline_.Clear();
+  write_deadline_.Clear();
   ErrorCode ignored;
   socket_.close(ignored);
 }
--- a/src/net/timed_socket.h
+++ b/src/net/timed_socket.h
@@ -2,26 +2,19 @@
 #define DAISYPOND_NET_TIMED_SOCKET_H_
 
 #include <cstdint>
-#include <memory>
 #include <string>
 
-#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "base/clock.h"
+#include "net/operation_deadline.h"
 
 namespace daisypond::net {
 
-namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-/// Asio completion token that returns error codes as values instead of throwing
-/// exceptions.
-inline constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
-
 /// How the failure of the other end is detected when it does not close the
 /// connection.
 enum class DeadPeerDetection : uint8_t {
@@ -40,26 +33,22 @@
   kReset,
 };
 
-/// A TCP socket whose pending reads, writes and connects are cancelled when a
-/// deadline passes. Must only be used on the thread of its executor.
+/// A TCP socket with a deadline for each direction. Must only be used on the
+/// thread of its executor.
 class TimedSocket {
  public:
   explicit TimedSocket(const asio::any_io_executor& executor);
   explicit TimedSocket(Tcp::socket socket);
-  ~TimedSocket();
+  ~TimedSocket() = default;
   TimedSocket(const TimedSocket&) = delete;
   TimedSocket& operator=(const TimedSocket&) = delete;
 
   Tcp::socket& Raw() { return socket_; }
 
-  /// Cancels all pending operations at `deadline`. Replaces an earlier
-  /// deadline.
-  void SetDeadline(base::Millis deadline);
-  void ClearDeadline();
-
-  /// True when the deadline set by the last SetDeadline() has passed before
-  /// ClearDeadline() was called.
-  bool HasTimedOut() const { return has_timed_out_; }
+  /// Deadline of the read that is begun with its token.
+  OperationDeadline& ReadDeadline() { return read_deadline_; }
+  /// Deadline of the write that is begun with its token, and of Connect().
+  OperationDeadline& WriteDeadline() { return write_deadline_; }
 
   /// Sets TCP options. Errors are ignored, because the connection works without
   /// the options.
@@ -95,11 +84,8 @@
 
  private:
   Tcp::socket socket_;
-  asio::steady_timer timer_;
-  // Incremented by SetDeadline() and ClearDeadline(), so that the timer handler
-  // of an earlier deadline does nothing.
-  std::shared_ptr<uint64_t> generation_;
-  bool has_timed_out_ = false;
+  OperationDeadline read_deadline_;
+  OperationDeadline write_deadline_;
 };
 
 }  // namespace daisypond::net
--- a/src/tunnel/client.cc
+++ b/src/tunnel/client.cc
@@ -29,9 +29,11 @@
 awaitable<OpenResult> ReadAnswer(net::TimedSocket* socket) {
   std::string answer;
   std::array<char, kMaximumHandshakeBytes> buf{};
-  while (!socket->HasTimedOut()) {
+  net::OperationDeadline& deadline = socket->ReadDeadline();
+  while (!deadline.HasPassed()) {
     const auto [ec, n] = co_await socket->Raw().async_receive(
-        net::asio::buffer(buf), net::Tcp::socket::message_peek, net::kAsTuple);
+        net::asio::buffer(buf), net::Tcp::socket::message_peek,
+        deadline.Token());
     if (ec) {
       break;
     }
@@ -39,7 +41,8 @@
         CountAnswerBytes(answer, std::string_view(buf.data(), n));
     // The bytes have arrived already, so this read does not wait.
     const auto [read_ec, n_read] = co_await net::asio::async_read(
-        socket->Raw(), net::asio::buffer(buf.data(), n_answer), net::kAsTuple);
+        socket->Raw(), net::asio::buffer(buf.data(), n_answer),
+        deadline.Token());
     if (read_ec) {
       break;
     }
@@ -64,13 +67,18 @@
     co_return OpenResult{Status::kPeerUnreachable, Framing::kNone};
   }
   socket->SetTcpOptions(net::DeadPeerDetection::kKeepAliveProbes);
-  socket->SetDeadline(deadline);
-  const auto [write_ec, n] = co_await net::asio::async_write(
-      socket->Raw(), net::asio::buffer(request), net::kAsTuple);
+  socket->WriteDeadline().Set(deadline);
+  const auto [write_ec, n] =
+      co_await net::asio::async_write(socket->Raw(), net::asio::buffer(request),
+                                      socket->WriteDeadline().Token());
+  socket->WriteDeadline().Clear();
   if (write_ec) {
     co_return OpenResult{Status::kPeerUnreachable, Framing::kNone};
   }
-  co_return co_await ReadAnswer(socket);
+  socket->ReadDeadline().Set(deadline);
+  const OpenResult result = co_await ReadAnswer(socket);
+  socket->ReadDeadline().Clear();
+  co_return result;
 }
 
 }  // namespace
@@ -84,9 +92,7 @@
   if (text) {
     result = co_await Connect(socket, peer_address, *text, deadline);
   }
-  if (result.status == Status::kOpen) {
-    socket->ClearDeadline();
-  } else {
+  if (result.status != Status::kOpen) {
     socket->Reset();
   }
   co_return result;
--- a/src/tunnel/server.cc
+++ b/src/tunnel/server.cc
@@ -159,17 +159,18 @@
   std::string received;
   std::array<char, kMaximumHandshakeBytes> buf{};
   net::TimedSocket* requester = handshake->requester.get();
-  requester->SetDeadline(handshake->began_at + kRequestTimeout);
-  while (!requester->HasTimedOut()) {
+  net::OperationDeadline& deadline = requester->ReadDeadline();
+  deadline.Set(handshake->began_at + kRequestTimeout);
+  while (!deadline.HasPassed()) {
     const auto [ec, n] = co_await requester->Raw().async_read_some(
-        net::asio::buffer(buf), net::kAsTuple);
+        net::asio::buffer(buf), deadline.Token());
     if (ec) {
       break;
     }
     received.append(buf.data(), n);
     auto parsed = ParseRequest(received);
     if (parsed) {
-      requester->ClearDeadline();
+      deadline.Clear();
       handshake->request = std::move(parsed->request);
       handshake->first_bytes = received.substr(parsed->size);
       co_return true;
