Streams that may run only once outlast the silence of their target

Cause: RelayStream took 60% of the accepted pause without bytes and one probe without an answer for the loss of the target, whatever the route. Such a stream can't go on elsewhere, so it gains nothing from an early end.

Evidence: in the log, probe alive=false took_ms=300 and then send_ended reason=target_silent, for processes that the catalog still listed; the targets went on 0.3 s later and found their connections closed.

Change: ChooseSilenceAction, a decision of its own. A stream that may run only once waits until its deadline, unless the target's process has left the catalog, has been silent for three seconds and does not answer a probe. Streams that can go on elsewhere do so as before. target_silent logs inputs and decision.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -30,6 +30,7 @@
 #include "forward/suspected_content.h"
 #include "forward/take_permit.h"
 #include "forward/target_call.h"
+#include "forward/target_silence.h"
 
 namespace daisypond::forward {
 
@@ -1656,23 +1657,26 @@
     std::optional<Millis> partial_since;
     const ConnectionReuse reuse = ChooseConnectionReuse();
     Millis last_heard_at = Clock::Now();
+    // Set when a silence has been looked at: when to look at it again.
+    std::optional<Millis> next_check_at;
     bool has_event = false;
     ReadStatus status = ReadStatus::kMore;
     while (status == ReadStatus::kMore) {
       std::string bytes;
       const Millis timeout = has_event ? SilenceTimeout() : HeaderTimeout();
-      const Millis silence_deadline = last_heard_at + timeout;
+      const Millis check_at = next_check_at.value_or(last_heard_at + timeout);
       status = co_await reader->ReadBodyPart(
-          &bytes, std::min(StreamDeadline(), silence_deadline));
+          &bytes, std::min(StreamDeadline(), check_at));
       const Millis now = Clock::Now();
-      if (status == ReadStatus::kTimedOut && now >= silence_deadline &&
-          !CanResumeFromCopy() && co_await IsAlive(placement)) {
-        last_heard_at = now - timeout + kProbePeriod;
+      if (status == ReadStatus::kTimedOut && now >= check_at &&
+          co_await MayGoOn(placement, now - last_heard_at)) {
+        next_check_at = now + kProbePeriod;
         status = ReadStatus::kMore;
       }
       if (!bytes.empty()) {
         forwarder_->selector.OnBytesReceived(placement.id, now);
         last_heard_at = now;
+        next_check_at.reset();
       }
       std::string text;
       size_t n_events = 0;
@@ -1689,6 +1693,7 @@
             co_return *given_up;
           }
           last_heard_at = Clock::Now();
+          next_check_at.reset();
         }
         ++last_received_event_;
         text += it.bytes;
@@ -1759,6 +1764,23 @@
     }
   }
 
+  /// True when the target of a stream, which has been silent for so long, may
+  /// go on with it.
+  net::asio::awaitable<bool> MayGoOn(const Placement& placement,
+                                     Millis silent_for) {
+    TargetSilence silence{silent_for, route_->repeatability};
+    silence.is_copied = CanResumeFromCopy();
+    silence.is_listed = forwarder_->selector.IsSameProcess(placement);
+    const SilenceAction action = ChooseSilenceAction(silence);
+    LogSilence(placement, silence, action);
+    // GCC 12 mishandles co_await in a conditional expression.
+    bool may_go_on = action == SilenceAction::kWait;
+    if (action == SilenceAction::kProbe) {
+      may_go_on = co_await IsAlive(placement);
+    }
+    co_return may_go_on;
+  }
+
   /// True when an available engine holds a copy of the current run's KV cache
   /// and can resume the run. Abandoning a run that is merely slow is then
   /// cheap.
@@ -1878,6 +1900,21 @@
                {"took_ms", took.count}});
   }
 
+  void LogSilence(const Placement& placement,
+                  const TargetSilence& silence,
+                  SilenceAction action) const {
+    base::Log(base::LogLevel::kInfo, "target_silent",
+              {{"request", request_info_.id},
+               {"target", placement.id},
+               {"event", last_received_event_},
+               {"silent_ms", silence.duration.count},
+               {"repeatability",
+                catalog::kRepeatabilityNames.NameOf(silence.repeatability)},
+               {"copied", silence.is_copied},
+               {"listed", silence.is_listed},
+               {"action", kSilenceActionNames.NameOf(action)}});
+  }
+
   void LogPermit(const Placement& placement,
                  PermitKind kind,
                  double limit,
