--- a/meta/broken_answer_own_interface_test.py
+++ b/meta/broken_answer_own_interface_test.py
@@ -29,9 +29,10 @@
 GOOD_FIELDS = b"Content-Type: application/json\r\nContent-Length: 4\r\n"
 
 
-def request(path, body=b""):
+def request(path, body=b"", key=None):
     return (f"POST {path} HTTP/1.1\r\nHost: e\r\n"
-            f"Authorization: Bearer w0-key\r\nIdempotency-Key: {new_id()}\r\n"
+            f"Authorization: Bearer w0-key\r\n"
+            f"Idempotency-Key: {key or new_id()}\r\n"
             f"Content-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\n\r\n").encode() + body
 
@@ -45,6 +46,8 @@
         self.cluster = cluster
         self.script = self.answer_well
         self.arrivals = 0
+        # Idempotency key of the last call.
+        self.key = None
         self.failures = []
 
     def targets(self):
@@ -80,7 +83,8 @@
         self.script = script
         arrivals = self.arrivals
         for _ in range(MAXIMUM_TRIES):
-            got = call(self.cluster.entry(0), request(path, body))
+            self.key = new_id()
+            got = call(self.cluster.entry(0), request(path, body, self.key))
             if self.arrivals > arrivals:
                 return got
             time.sleep(RETRY_PAUSE_S)
@@ -100,13 +104,27 @@
                 connection.reset()
                 return False
 
-            got = self.call_target(
-                answer, f"/v1/services/records/{CALLS[i % 2]}", LONG_BODY)
+            path = f"/v1/services/records/{CALLS[i % 2]}"
+            got = self.call_target(answer, path, LONG_BODY)
             if got.is_complete and got.status < 300:
                 self.fail(f"{CALLS[i % 2]}: {len(got.body)} bytes came as a "
                           f"complete {got.status}; the target had read "
                           f"{n_read} bytes, sent {n_sent} and reset after "
                           f"{pause_s:.2f} s")
+            if CALLS[i % 2] == "close-batch":
+                self.check_claim(path)
+
+    # A call that must not be repeated has got a broken answer. When it comes
+    # again it must not run again, and the part must not come from its claim.
+    def check_claim(self, path):
+        self.script = self.answer_well
+        arrivals = self.arrivals
+        got = call(self.cluster.entry(0), request(path, LONG_BODY, self.key))
+        if self.arrivals != arrivals:
+            self.fail("a call that must not be repeated ran again")
+        if got.is_complete and got.status < 300:
+            self.fail(f"{len(got.body)} bytes of a broken answer came from its "
+                      f"claim as a complete {got.status}")
 
     # The caller must get an error of the instance.
     def check_bad_answer(self, what, name, text):
--- a/meta/broken_answer_test.py
+++ b/meta/broken_answer_test.py
@@ -8,6 +8,7 @@
 import argparse
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -134,29 +135,48 @@
         for _ in range(UPLOADS):
             n_read, n_sent = rng.choice(READ_SIZES), rng.choice(sizes)
             pause_s = rng.choice((0, rng.uniform(0, MAXIMUM_PAUSE_S)))
-            part = ONE_EVENT if route in STREAMS else WHOLE_BODY[:n_sent]
+            self.check_upload(route, n_read, n_sent, lambda pause_s=pause_s:
+                              time.sleep(pause_s), f"reset after {pause_s:.2f} s")
 
-            def answer(connection, head, name):
-                if head.fields.get("last-event-id") == "1":
-                    connection.read_exactly(head.length())
-                    connection.send(sealed_head(name, STREAM_TYPE + b"Content-"
-                                                b"Length: 15\r\n") + NEXT_EVENT)
-                    return True
-                connection.read_exactly(n_read)
-                connection.send(sealed_head(
-                    name, STREAM_TYPE if route in STREAMS else b"") + part)
-                time.sleep(pause_s)
-                connection.reset()
-                return False
+    # The same while the instance is stopped: it finds the part and the reset at
+    # once, before its first read.
+    def check_uploads_before_first_read(self, route, sizes):
+        for n_read in sorted(set(READ_SIZES)):
+            for n_sent in sizes:
+                self.check_upload(route, n_read, n_sent, lambda: None,
+                                  "reset before the first read",
+                                  is_instance_stopped=True)
 
-            got = self.call_target(answer, "POST", route, LONG_BODY)
-            self.parts += got.status == 200 and not got.is_complete
-            is_resumed = (route == "resumable" and
-                          got.body == ONE_EVENT + NEXT_EVENT)
-            if got.is_complete and got.status < 300 and not is_resumed:
-                self.fail(f"{route}: {len(got.body)} bytes came as a complete "
-                          f"{got.status}; the target had read {n_read} bytes, "
-                          f"sent {len(part)} and reset after {pause_s:.2f} s")
+    # `pause()` comes between the part of the answer and the reset.
+    def check_upload(self, route, n_read, n_sent, pause, what,
+                     is_instance_stopped=False):
+        part = ONE_EVENT if route in STREAMS else WHOLE_BODY[:n_sent]
+
+        def answer(connection, head, name):
+            if head.fields.get("last-event-id") == "1":
+                connection.read_exactly(head.length())
+                connection.send(sealed_head(name, STREAM_TYPE + b"Content-"
+                                            b"Length: 15\r\n") + NEXT_EVENT)
+                return True
+            connection.read_exactly(n_read)
+            if is_instance_stopped:
+                self.instance.signal(signal.SIGSTOP)
+            connection.send(sealed_head(
+                name, STREAM_TYPE if route in STREAMS else b"") + part)
+            pause()
+            connection.reset()
+            if is_instance_stopped:
+                self.instance.signal(signal.SIGCONT)
+            return False
+
+        got = self.call_target(answer, "POST", route, LONG_BODY)
+        self.parts += got.status == 200 and not got.is_complete
+        is_resumed = (route == "resumable" and
+                      got.body == ONE_EVENT + NEXT_EVENT)
+        if got.is_complete and got.status < 300 and not is_resumed:
+            self.fail(f"{route}: {len(got.body)} bytes came as a complete "
+                      f"{got.status}; the target had read {n_read} bytes, "
+                      f"sent {len(part)}, {what}")
 
     # The caller must get an error of the instance, or a stream that is cut off.
     def check_bad_answer(self, what, method, route, text):
@@ -231,6 +251,7 @@
                     self.fail("no answer was passed on in parts")
             else:
                 self.check_uploads(case, SENT_SIZES, rng)
+                self.check_uploads_before_first_read(case, SENT_SIZES)
             self.check_good_answers()
         finally:
             self.instance.kill()
