A target that still takes a request is not silent

Cause: the time for the answer counted from the start of the send.

Evidence: long_upload_test.py, case given_up: 4.19 MB read at 0.6 MB/s within a deadline of 15 s, sent twice, 502.

Change: the time counts from the moment at which the target last took bytes of the request: those written less those that the system has no acknowledgement of, looked at every 200 ms until the request has arrived as a whole (UploadProgress).

--- a/meta/long_upload_test.py
+++ b/meta/long_upload_test.py
@@ -150,6 +150,14 @@
         self.answer(connection, head, name)
         return True
 
+    # Stops reading for good, the first time.
+    def read_half(self, connection, head, name):
+        if self.arrivals[name] > 1:
+            return self.read_at_once(connection, head, name)
+        connection.read_exactly(head.length() // 2)
+        time.sleep(DEADLINE_MS / 1000)
+        return False
+
     # ---- Callers.
 
     def send(self, route, n_bytes, script):
@@ -203,28 +211,40 @@
         if self.arrivals.get(name) != 1:
             self.fail(f"{route} {name}: sent {self.arrivals.get(name)} times")
 
+    # A target that has stopped reading is silent; the call goes elsewhere.
+    def check_stalled_target(self, route):
+        name, got = self.send(route, LONG_BYTES, self.read_half)
+        if got.status != 200 or self.arrivals.get(name) != 2:
+            self.fail(f"{route} {name}: {got.status} after "
+                      f"{self.arrivals.get(name)} sends, its target stalled")
+
     def run(self, case):
         self.instance.start()
         try:
             time.sleep(START_S)
             if case == "foreign_bytes":
                 self.check_foreign_bytes_of_all()
-            else:
+            elif case == "cut_body":
                 run_all(self.check_slow_target, SLOW_ROUTES * SLOW_REQUESTS)
+            else:
+                run_all(lambda check: check("idem"),
+                        [self.check_slow_target] * SLOW_REQUESTS +
+                        [self.check_stalled_target])
         finally:
             self.instance.kill()
 
 
-def run_all(check, routes):
-    with concurrent.futures.ThreadPoolExecutor(len(routes)) as pool:
-        list(pool.map(check, routes))
+def run_all(check, arguments):
+    with concurrent.futures.ThreadPoolExecutor(len(arguments)) as pool:
+        list(pool.map(check, arguments))
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--case", required=True,
-                        choices=("foreign_bytes", "cut_body"),
-                        help="early answers, or targets that read slowly")
+                        choices=("foreign_bytes", "cut_body", "given_up"),
+                        help="early answers; targets that read slowly; the "
+                             "same with calls that may be given up")
     parser.add_argument("--port", type=int, default=24700)
     arguments = parser.parse_args()
     test = Test(arguments.port)
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -31,6 +31,7 @@
 #include "forward/take_permit.h"
 #include "forward/target_call.h"
 #include "forward/target_silence.h"
+#include "forward/upload_progress.h"
 
 namespace daisypond::forward {
 
@@ -1057,7 +1058,8 @@
     ResponseReader reader(connection, request_.method != "HEAD");
     ResponseMetadata metadata;
     for (int n_stale_answers = 0;; ++n_stale_answers) {
-      const ReadStatus status = co_await ReadAnswerHeader(placement, &reader);
+      const ReadStatus status =
+          co_await ReadAnswerHeader(placement, connection, &reader);
       if (status == ReadStatus::kBroken || status == ReadStatus::kTimedOut) {
         co_return SendResult{SendOutcome::kUnknown,
                              status == ReadStatus::kTimedOut
@@ -1098,27 +1100,44 @@
   }
 
   /// Reads the header of the answer. When the target of a repeatable request is
-  /// silent for too long, returns kTimedOut. For a stream, the timeout counts
-  /// only if the target also fails a probe, because prefilling the prompt at
-  /// another engine costs more than waiting.
-  net::asio::awaitable<ReadStatus> ReadAnswerHeader(const Placement& placement,
-                                                    ResponseReader* reader) {
+  /// silent for too long, returns kTimedOut; a target that still takes the
+  /// request is not silent. For a stream, the timeout counts only if the target
+  /// also fails a probe, because prefilling the prompt at another engine costs
+  /// more than waiting.
+  net::asio::awaitable<ReadStatus> ReadAnswerHeader(
+      const Placement& placement,
+      std::shared_ptr<TargetConnection> connection,
+      ResponseReader* reader) {
     const bool may_repeat =
         route_->repeatability != catalog::Repeatability::kRunOnce;
     Millis timeout = may_repeat ? HeaderTimeout() : kHeaderCheckPeriod;
+    Millis now = Clock::Now();
+    Millis silent_since = now;
+    UploadProgress upload(connection->TotalBytes(), now);
     while (true) {
-      const Millis header_deadline =
-          std::min(deadline_, Clock::Now() + timeout);
-      const ReadStatus status = co_await reader->ReadHeader(header_deadline);
-      if (status != ReadStatus::kTimedOut || header_deadline >= deadline_) {
+      Millis wait = silent_since + timeout - now;
+      if (!upload.IsComplete()) {
+        wait = std::min(wait, kUploadCheckPeriod);
+      }
+      const ReadStatus status =
+          co_await reader->ReadHeader(std::min(deadline_, now + wait));
+      now = Clock::Now();
+      if (status != ReadStatus::kTimedOut || now >= deadline_) {
         co_return status;
       }
+      upload.Sample(connection->AcknowledgedBytes(), now);
+      silent_since = std::max(silent_since, upload.IdleSince());
+      if (now < silent_since + timeout) {
+        continue;
+      }
       if (reader->HasPartialHeader()) {
         co_return co_await ReadRestOfHeader(placement, reader);
       }
       if (may_repeat && (!route_->is_stream || !co_await IsAlive(placement))) {
         co_return status;
       }
+      now = Clock::Now();
+      silent_since = now;
       timeout = may_repeat ? kProbePeriod : kHeaderCheckPeriod;
     }
   }
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -69,6 +69,9 @@
 /// long the rest of such a header may take.
 inline constexpr base::Millis kHeaderCheckPeriod{1000};
 inline constexpr base::Millis kHeaderGraceTime{500};
+/// How often it is checked whether a target still takes a request that it has
+/// not got as a whole.
+inline constexpr base::Millis kUploadCheckPeriod{200};
 /// Time allowed for the body of an answer that is not a stream, in addition to
 /// the time that its bytes take at kMinimumBodyBytesPerMs. The answer to a
 /// request that may run only once cannot be replaced by another one, so it is
--- a/src/forward/target_connection.cc
+++ b/src/forward/target_connection.cc
@@ -15,6 +15,7 @@
 
 constexpr size_t kMaximumReadBytes = 64u << 10;
 constexpr size_t kFrameReadBytes = 8u << 10;
+constexpr size_t kMaximumWriteBytes = 64u << 10;
 
 /// True if a write that ended with `ec` was the first to learn that the
 /// connection was lost.
@@ -51,6 +52,10 @@
           net::asio::buffer(write_header_),
           write_body_ == nullptr ? net::asio::const_buffer()
                                  : net::asio::buffer(*write_body_)},
+      [self = shared_from_this()](net::ErrorCode ec, size_t n) {
+        self->written_bytes_ = n;
+        return ec ? 0 : kMaximumWriteBytes;
+      },
       [self = shared_from_this()](net::ErrorCode ec, size_t n) {
         self->is_write_done_ = true;
         self->write_error_ = ec;
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -1,6 +1,7 @@
 #ifndef DAISYPOND_FORWARD_TARGET_CONNECTION_H_
 #define DAISYPOND_FORWARD_TARGET_CONNECTION_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -61,10 +62,16 @@
   /// Why the last write has ended early; no error while it is in progress.
   const net::ErrorCode& WriteError() const { return write_error_; }
 
-  /// Number of bytes that the last write has passed to the system; zero while
-  /// it is in progress.
+  /// Number of bytes that the last write has passed to the system.
   size_t WrittenBytes() const { return written_bytes_; }
 
+  /// Number of bytes of the last request that the other end of the connection
+  /// has acknowledged.
+  size_t AcknowledgedBytes() {
+    return written_bytes_ -
+           std::min(written_bytes_, socket_.UnacknowledgedBytes());
+  }
+
   /// Size of the last request in bytes.
   size_t TotalBytes() const { return total_bytes_; }
 
--- a/src/net/timed_socket.cc
+++ b/src/net/timed_socket.cc
@@ -4,7 +4,9 @@
 #include <string>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "net/address.h"
@@ -110,6 +112,13 @@
          Peek(socket_.native_handle(), &ignored) != PeekResult::kNoData;
 }
 
+size_t TimedSocket::UnacknowledgedBytes() {
+  int n = 0;
+  const bool is_known =
+      socket_.is_open() && ioctl(socket_.native_handle(), SIOCOUTQ, &n) == 0;
+  return is_known && n > 0 ? static_cast<size_t>(n) : 0;
+}
+
 ErrorCode TimedSocket::EndOfInput() {
   ErrorCode end;
   if (!socket_.is_open()) {
--- a/src/net/timed_socket.h
+++ b/src/net/timed_socket.h
@@ -76,6 +76,9 @@
   /// consume bytes.
   bool HasInputOrIsClosed();
 
+  /// Number of written bytes that the other end has not acknowledged.
+  size_t UnacknowledgedBytes();
+
   /// Returns why nothing more can be read: asio::error::eof after the orderly
   /// end of the other end's data, or the error of the connection. Returns no
   /// error while the connection is open or has unread bytes. Does not block or
