Don't send a request once more to an engine that is leaving

Cause: the engine whose connection broke last gets the request once more. It was checked to be the same process, but not whether it is leaving, and up to four seconds may pass on waiting for a retry.

Change: such an engine is chosen again only while it isn't leaving.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -587,9 +587,12 @@
       // broke, the engine still has the prompt in its KV cache.
       const Placement same_engine =
           *std::exchange(reconnect_candidate_, std::nullopt);
-      if (HasStreamBegun()
-              ? forwarder_->selector.IsSameProcess(same_engine)
-              : !forwarder_->selector.IsSuperseded(same_engine.id)) {
+      const TargetSelector& selector = forwarder_->selector;
+      const bool is_available = HasStreamBegun()
+                                    ? selector.IsSameProcess(same_engine)
+                                    : !selector.IsSuperseded(same_engine.id);
+      // Much time may have passed on waiting for a retry.
+      if (is_available && !selector.IsLeaving(same_engine.id)) {
         co_return same_engine;
       }
     }
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -360,6 +360,7 @@
   CPPUNIT_TEST(TestUnresponsiveEnginesAreTriedLast);
   CPPUNIT_TEST(TestInterruptedStreamWaitsForRetryBudget);
   CPPUNIT_TEST(TestStreamIsCutWhenNoRetryIsGranted);
+  CPPUNIT_TEST(TestInterruptedStreamDoesNotReturnToALeavingEngine);
   CPPUNIT_TEST(TestSilentEngineIsReplaced);
   CPPUNIT_TEST(TestEventAfterASkippedIdIsNotRelayed);
   CPPUNIT_TEST(TestStreamThatCannotResumeHasNoLastChunk);
@@ -928,6 +929,32 @@
     EXPECT(n_sends_ == 1);
   }
 
+  // An engine whose connection broke got the request once more, although it
+  // was leaving by then.
+  void TestInterruptedStreamDoesNotReturnToALeavingEngine() {
+    std::atomic<int> left = -1;
+    std::atomic<int> chosen = -1;
+    for (int i = 0; i < 2; ++i) {
+      AddTarget([&, i](LoopbackConnection& connection,
+                       const std::string& header) {
+        if (header.starts_with("GET /alive")) {
+          return connection.Send(MakeAnswer(200, "", "0 0", ""));
+        }
+        if (++n_sends_ > 1) {
+          chosen = i;
+          return Serve(connection, header, 3, 3);
+        }
+        left = i;
+        auto targets = std::make_shared<catalog::Targets>(*catalog_.targets);
+        targets->at(fmt::format("t{}", i)).is_leaving = true;
+        instance_->Apply({catalog_.configuration, targets});
+        return false;
+      });
+    }
+    EXPECT_EQ(std::string("1,2,3,end"), EventIdsOf(ReadStream("r1", "")));
+    EXPECT_EQ(1 - left, chosen.load());
+  }
+
   void TestSilentEngineIsReplaced() {
     AddEngines(
         2, [this](LoopbackConnection& connection, const std::string& header) {
