No request waits behind a body that its target has not read

What callers saw: beside targets that answer long requests early and read on seconds later, short calls that may run only once failed with 502 or waited.

Cause: a connection was reused as soon as its last request was written, that is, was in the buffers of the system; the next request waited behind it, until TCP_USER_TIMEOUT ended the connection.

The new case queued_behind_body shows it without tunnels: bodies of 1 MB, targets that read on after 4 s.

Change: a connection is reused only if the other end has acknowledged the last request. An answer acknowledges all that its target has received, so sound targets keep their connections. A tunnel is not reused after a request of more than 64 KB, which the peer may still hold.

--- a/meta/forwarding_stand_ins.py
+++ b/meta/forwarding_stand_ins.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 import threading
@@ -136,10 +137,20 @@
     return "%s:%d" % store.server_address
 
 
+# Returns an address that refuses connections while the socket exists.
+def refusing_address():
+    sock = socket.socket()
+    sock.bind((HOST, 0))
+    return sock, "%s:%d" % sock.getsockname()
+
+
 class Instance:
-    """One process of the forwarding interface. `extra` ends its settings."""
+    """One process of the forwarding interface. `extra` ends its settings;
+    `build` is the folder of its program."""
 
-    def __init__(self, index, port, folder, store, grace_s=8, extra=""):
+    def __init__(self, index, port, folder, store, grace_s=8, extra="",
+                 build=BUILD):
+        self.build = build
         self.port = port + index * 4
         seeds = ", ".join(f'"{HOST}:{port + i * 4 + 3}"' for i in range(3))
         self.settings = folder / f"{index}.yaml"
@@ -164,9 +175,13 @@
     def start(self):
         with open(self.log, "a") as log:
             self.process = subprocess.Popen(
-                [BUILD / "daisypond-entry", "--config", self.settings],
+                [self.build / "daisypond-entry", "--config", self.settings],
                 stdout=log, stderr=subprocess.STDOUT)
 
+    # Targets of requests that went through a peer so far.
+    def count_tunnelled_sends(self):
+        return self.log.read_text().count(" via=i")
+
     def kill(self):
         self.process.kill()
         self.process.wait()
--- a/meta/long_upload_test.py
+++ b/meta/long_upload_test.py
@@ -15,10 +15,12 @@
 import time
 
 from broken_answer_stand_ins import Server, call, new_id
-from forwarding_stand_ins import HOST, Instance, Tables, start_store
+from forwarding_stand_ins import (
+    BUILD, HOST, Instance, Tables, refusing_address, start_store)
 
 TARGETS = 3
 START_S = 1.5
+MAXIMUM_TRIES, RETRY_PAUSE_S = 50, 0.2
 DEADLINE_MS = 15_000
 LATENCY_OBJECTIVE_MS = 4500
 MAXIMUM_BODY_BYTES = 4 << 20
@@ -31,8 +33,12 @@
 # When a target answers a long request that it has not read, and when it reads
 # on.
 ANSWER_DELAYS_S = (0, 0.5, 1.5)
-READ_PAUSE_S = 0.3
+READ_PAUSE_S, LONG_PAUSE_S = 0.3, 4
+# Fits into the buffers of the system, but not into those of a target.
+WRITTEN_BYTES = 1_000_000
 SHORT_CALLERS, SHORT_PAUSE_S = 2, 0.05
+# A short request takes less, unless it waits for another one.
+LONGEST_SHORT_S = 1
 # A target that reads slowly takes a piece of the body in each period.
 PIECE_BYTES, PERIOD_S = 60_000, 0.1
 # More than fits into the buffers of the system.
@@ -63,7 +69,7 @@
 
 
 class Test:
-    def __init__(self, port):
+    def __init__(self, port, is_tunnelled, peer_build):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="daisypond-upload-"))
         # By the id of the request.
         self.bodies = {}
@@ -71,16 +77,26 @@
         self.arrivals = {}
         self.lock = threading.Lock()
         self.failures = []
+        self.is_tunnelled = is_tunnelled
+        addresses = [Server(self.serve).address for _ in range(TARGETS)]
+        self.instances = [self.make_instance(0, port, addresses)]
+        if is_tunnelled:
+            # The first instance finds no target where its table service says.
+            self.refusing, address = refusing_address()
+            self.instances = [
+                self.make_instance(0, port, [address] * TARGETS),
+                self.make_instance(1, port, addresses, peer_build)]
+        self.address = f"{HOST}:{port}"
+
+    def make_instance(self, index, port, addresses, build=BUILD):
         tables = Tables()
         tables.put("op", "config", configuration())
-        for i in range(TARGETS):
-            server = Server(self.serve)
-            tables.put("servers", f"t{i}", row(server.address, f"d{i}"))
-        self.instance = Instance(
-            0, port, self.folder, start_store(tables),
-            extra="memory_mb: 256\nretries:\n  window_s: 10\n"
-                  "  ratio: 0.8\n  slack: 150\n")
-        self.address = f"{HOST}:{port}"
+        for i, it in enumerate(addresses):
+            tables.put("servers", f"t{i}", row(it, f"d{i}"))
+        return Instance(
+            index, port, self.folder, start_store(tables), build=build,
+            extra=f"tunnel_listen: {HOST}:{port + 8 + index}\nmemory_mb: 256\n"
+                  "retries:\n  window_s: 10\n  ratio: 0.8\n  slack: 150\n")
 
     def fail(self, text):
         with self.lock:
@@ -125,12 +141,13 @@
         connection.take(n_bytes)
         return True
 
-    # Answers before it has read the body, keeps the connection and reads on.
-    def answer_early(self, delay_s, rejects):
+    # Answers before it has read the body, keeps the connection and reads on
+    # after `pause_s`.
+    def answer_early(self, delay_s, rejects, pause_s=READ_PAUSE_S):
         def script(connection, head, name):
             time.sleep(delay_s)
             self.answer(connection, head, name, rejects)
-            time.sleep(READ_PAUSE_S)
+            time.sleep(pause_s)
             return self.read_body(connection, head.length(), name)
         return script
 
@@ -175,9 +192,12 @@
     # is kept.
     def send_short_requests(self, stop):
         while not stop.is_set():
+            began_at = time.monotonic()
             name, got = self.send("once", SHORT_BYTES, self.read_at_once)
-            if got.status != 200:
-                self.fail(f"short request {name}: {got.status}")
+            took_s = time.monotonic() - began_at
+            if got.status != 200 or took_s >= LONGEST_SHORT_S:
+                self.fail(f"short request {name}: {got.status} after "
+                          f"{took_s:.1f} s")
             time.sleep(SHORT_PAUSE_S)
 
     # A target that answers a long request early and reads on must not get
@@ -189,14 +209,23 @@
                           self.answer_early(delay_s, rejects))
         time.sleep(READ_PAUSE_S * 2)
 
-    def check_foreign_bytes_of_all(self):
+    # A target that has answered a long request reads on only after a while. No
+    # other request must wait behind the body, though all of it is written.
+    def check_queued_requests(self, route):
+        for delay_s in ANSWER_DELAYS_S:
+            for rejects in (True, False):
+                self.send(route, WRITTEN_BYTES,
+                          self.answer_early(delay_s, rejects, LONG_PAUSE_S))
+
+    # Runs `check` on all routes beside short requests.
+    def run_beside_short_requests(self, check):
         stop = threading.Event()
         callers = [threading.Thread(target=self.send_short_requests,
                                     args=(stop,), daemon=True)
                    for _ in range(SHORT_CALLERS)]
         for it in callers:
             it.start()
-        run_all(self.check_foreign_bytes, ROUTES)
+        run_all(check, ROUTES)
         stop.set()
         for it in callers:
             it.join()
@@ -218,20 +247,36 @@
             self.fail(f"{route} {name}: {got.status} after "
                       f"{self.arrivals.get(name)} sends, its target stalled")
 
+    # Sends short requests until one is answered.
+    def wait_for_targets(self):
+        for _ in range(MAXIMUM_TRIES):
+            if self.send("once", SHORT_BYTES, self.read_at_once)[1].status == 200:
+                return
+            time.sleep(RETRY_PAUSE_S)
+        raise RuntimeError("no request is answered")
+
     def run(self, case):
-        self.instance.start()
+        for it in self.instances:
+            it.start()
         try:
             time.sleep(START_S)
+            self.wait_for_targets()
             if case == "foreign_bytes":
-                self.check_foreign_bytes_of_all()
+                self.run_beside_short_requests(self.check_foreign_bytes)
+            elif case == "queued_behind_body":
+                self.run_beside_short_requests(self.check_queued_requests)
             elif case == "cut_body":
                 run_all(self.check_slow_target, SLOW_ROUTES * SLOW_REQUESTS)
             else:
                 run_all(lambda check: check("idem"),
                         [self.check_slow_target] * SLOW_REQUESTS +
                         [self.check_stalled_target])
+            if self.is_tunnelled and not (
+                    self.instances[0].count_tunnelled_sends()):
+                self.fail("no request went through the peer")
         finally:
-            self.instance.kill()
+            for it in self.instances:
+                it.kill()
 
 
 def run_all(check, arguments):
@@ -242,12 +287,18 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--case", required=True,
-                        choices=("foreign_bytes", "cut_body", "given_up"),
-                        help="early answers; targets that read slowly; the "
-                             "same with calls that may be given up")
+                        choices=("foreign_bytes", "queued_behind_body",
+                                 "cut_body", "given_up"),
+                        help="early answers, of targets that read on soon or "
+                             "late; targets that read slowly, also for calls "
+                             "that may be given up")
+    parser.add_argument("--tunnel", action="store_true",
+                        help="reach the targets through a peer")
+    parser.add_argument("--peer-build", type=pathlib.Path, default=BUILD,
+                        help="build folder of the peer's program")
     parser.add_argument("--port", type=int, default=24700)
     arguments = parser.parse_args()
-    test = Test(arguments.port)
+    test = Test(arguments.port, arguments.tunnel, arguments.peer_build)
     test.run(arguments.case)
     print(f"{len(test.failures)} violations; logs in {test.folder}")
     return 1 if test.failures else 0
--- a/src/forward/target_connection.cc
+++ b/src/forward/target_connection.cc
@@ -16,6 +16,8 @@
 constexpr size_t kMaximumReadBytes = 64u << 10;
 constexpr size_t kFrameReadBytes = 8u << 10;
 constexpr size_t kMaximumWriteBytes = 64u << 10;
+// After a larger request a tunnel is not used for another one.
+constexpr size_t kMaximumRelayedBytes = 64u << 10;
 
 /// True if a write that ended with `ec` was the first to learn that the
 /// connection was lost.
@@ -72,6 +74,14 @@
   }
 }
 
+bool TargetConnection::IsReadyForRequest() {
+  // A peer acknowledges what it has not passed on yet.
+  const bool may_be_held_by_peer = Route() == ConnectionRoute::kTunnel &&
+                                   total_bytes_ > kMaximumRelayedBytes;
+  return is_write_done_ && !write_error_ && !may_be_held_by_peer &&
+         socket_.UnacknowledgedBytes() == 0 && IsBetweenResponses();
+}
+
 net::asio::awaitable<net::ErrorCode> TargetConnection::Receive() {
   if (decoder_) {
     co_return co_await ReceiveFrames();
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -51,11 +51,10 @@
   /// carries the target's bytes.
   void OnTunnelOpened(tunnel::Framing framing);
 
-  /// True when the last request has been written as a whole and no bytes have
-  /// arrived beyond the response that was read last.
-  bool IsReadyForRequest() const {
-    return is_write_done_ && !write_error_ && IsBetweenResponses();
-  }
+  /// True when the other end has the last request as a whole and no bytes have
+  /// arrived beyond the response that was read last. Another request would wait
+  /// behind what a target that responds early has not read.
+  bool IsReadyForRequest();
 
   bool IsWriteDone() const { return is_write_done_; }
 
