--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -516,7 +516,11 @@
         print(f"could not run: {error!r}", file=sys.stderr)
     finally:
         rig.stop()
-        sys.stdout.flush()
+        # KEEP_LOGS keeps the logs and settings of the instances.
+        if os.environ.get("KEEP_LOGS"):
+            print(rig.folder, flush=True)
+        else:
+            shutil.rmtree(rig.folder, ignore_errors=True)
     os._exit(code)
 
 
