--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -484,11 +484,13 @@
             Entry(i, self.store.address, self.folder, ports[5 * i:5 * i + 5],
                   seeds, zone=f"zone-{'abc'[i % 3]}") for i in range(n_entries)]
 
-    def start(self):
-        for it in self.entries:
+    # Starts all instances, or these.
+    def start(self, entries=None):
+        entries = entries or self.entries
+        for it in entries:
             it.start()
         deadline = time.monotonic() + START_S
-        while not all(it.is_ready() for it in self.entries):
+        while not all(it.is_ready() for it in entries):
             if time.monotonic() > deadline:
                 raise RuntimeError("the entry instances were not ready in time")
             time.sleep(0.1)
