--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -982,7 +982,7 @@
                         ? SendInterruption::kForbidden
                         : SendInterruption::kAllowed);
     SendResult result = co_await ReadAnswer(placement, connection);
-    LogPartialWrite(placement, *connection);
+    LogIfPartlyWritten(request_info_.id, *connection);
     forwarder_->path_monitor.OnSendEnded(
         connection, result.reason == base::Reason::kTargetBroken
                         ? ReadStatus::kBroken
@@ -1794,7 +1794,8 @@
     silence.is_copied = CanResumeFromCopy();
     silence.is_listed = forwarder_->selector.IsSameProcess(placement);
     const SilenceAction action = ChooseSilenceAction(silence);
-    LogSilence(placement, silence, action);
+    LogSilence(request_info_.id, placement.id, last_received_event_, silence,
+               action);
     // GCC 12 mishandles co_await in a conditional expression.
     bool may_go_on = action == SilenceAction::kWait;
     if (action == SilenceAction::kProbe) {
@@ -1922,21 +1923,6 @@
                {"took_ms", took.count}});
   }
 
-  void LogSilence(const Placement& placement,
-                  const TargetSilence& silence,
-                  SilenceAction action) const {
-    base::Log(base::LogLevel::kInfo, "target_silent",
-              {{"request", request_info_.id},
-               {"target", placement.id},
-               {"event", last_received_event_},
-               {"silent_ms", silence.duration.count},
-               {"repeatability",
-                catalog::kRepeatabilityNames.NameOf(silence.repeatability)},
-               {"copied", silence.is_copied},
-               {"listed", silence.is_listed},
-               {"action", kSilenceActionNames.NameOf(action)}});
-  }
-
   void LogPermit(const Placement& placement,
                  PermitKind kind,
                  double limit,
@@ -1974,21 +1960,6 @@
          {"took_ms", took.count}});
   }
 
-  /// Logs a request of which the target can't have got all bytes.
-  void LogPartialWrite(const Placement& placement,
-                       const TargetConnection& connection) const {
-    if (connection.IsWriteDone() && !connection.WriteError()) {
-      return;
-    }
-    base::Log(base::LogLevel::kInfo, "request_unwritten",
-              {{"request", request_info_.id},
-               {"target", placement.id},
-               {"in_progress", !connection.IsWriteDone()},
-               {"written_bytes", connection.WrittenBytes()},
-               {"total_bytes", connection.TotalBytes()},
-               {"error", connection.WriteError().message()}});
-  }
-
   void LogAnswerWithoutEnd(const Placement& placement,
                            AnswerPart part,
                            size_t n_bytes,
--- a/src/forward/target_connection.cc
+++ b/src/forward/target_connection.cc
@@ -9,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/read_size.hpp>
 
+#include "base/log.h"
+
 namespace daisypond::forward {
 
 namespace {
@@ -144,4 +146,18 @@
   co_return net::ErrorCode();
 }
 
+void LogIfPartlyWritten(std::string_view request,
+                        const TargetConnection& connection) {
+  if (connection.IsWriteDone() && !connection.WriteError()) {
+    return;
+  }
+  base::Log(base::LogLevel::kInfo, "request_unwritten",
+            {{"request", request},
+             {"target", connection.Target()},
+             {"in_progress", !connection.IsWriteDone()},
+             {"written_bytes", connection.WrittenBytes()},
+             {"total_bytes", connection.TotalBytes()},
+             {"error", connection.WriteError().message()}});
+}
+
 }  // namespace daisypond::forward
--- a/src/forward/target_connection.h
+++ b/src/forward/target_connection.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -148,6 +149,10 @@
   bool is_abandoned_ = false;
 };
 
+/// Logs that the request that was sent last was not written as a whole, if so.
+void LogIfPartlyWritten(std::string_view request,
+                        const TargetConnection& connection);
+
 }  // namespace daisypond::forward
 
 #endif  // DAISYPOND_FORWARD_TARGET_CONNECTION_H_
--- a/src/forward/target_silence.h
+++ b/src/forward/target_silence.h
@@ -2,6 +2,7 @@
 #define DAISYPOND_FORWARD_TARGET_SILENCE_H_
 
 #include <cstdint>
+#include <string_view>
 
 #include "base/clock.h"
 #include "base/name_table.h"
@@ -34,6 +35,13 @@
 /// end: it is given up only if the target has left the catalog as well.
 SilenceAction ChooseSilenceAction(const TargetSilence& silence);
 
+/// Logs the silence of `target` after event `last_event` of a request.
+void LogSilence(std::string_view request,
+                std::string_view target,
+                int64_t last_event,
+                const TargetSilence& silence,
+                SilenceAction action);
+
 }  // namespace daisypond::forward
 
 #endif  // DAISYPOND_FORWARD_TARGET_SILENCE_H_
