--- a/meta/broken_answer_own_interface_test.py
+++ b/meta/broken_answer_own_interface_test.py
@@ -9,6 +9,7 @@
 import json
 import random
 import sys
+import threading
 import time
 
 from broken_answer_stand_ins import (
@@ -25,6 +26,10 @@
 READ_SIZES = (0, 0, 100_000, 2_000_000)
 SENT_SIZES = (0, 1, 2500, 5999)
 MAXIMUM_PAUSE_S = 0.4
+# When a target answers a long upload that it has not read. The calls that follow
+# may go to any target.
+ANSWER_DELAYS_S, SHORT_CALLS = (0, 0.5, 1.2), 2 * TARGETS
+READ_ON_LIMIT_S, READ_TIME_S = 5, 0.2
 GOOD_LINE = b"HTTP/1.1 200 OK\r\n"
 GOOD_FIELDS = b"Content-Type: application/json\r\nContent-Length: 4\r\n"
 
@@ -126,6 +131,36 @@
             self.fail(f"{len(got.body)} bytes of a broken answer came from its "
                       f"claim as a complete {got.status}")
 
+    # A target answers a long upload before it has read it, keeps the connection
+    # and reads on. It must not get another call as the rest of the body.
+    def check_early_answers(self):
+        for delay_s in ANSWER_DELAYS_S:
+            for name in CALLS:
+                reads_on = threading.Event()
+
+                def answer(connection, head):
+                    if head.length() < len(LONG_BODY):
+                        return self.answer_well(connection, head)
+                    time.sleep(delay_s)
+                    connection.send(GOOD_LINE + GOOD_FIELDS + b"\r\ngood")
+                    reads_on.wait(READ_ON_LIMIT_S)
+                    while len(connection.received) < len(LONG_BODY):
+                        received = connection.received
+                        if received.strip(b"u"):
+                            self.fail(f"{name}: other bytes in place of the "
+                                      f"body: {received.strip(b'u')[:60]}")
+                            return False
+                        connection.receive()
+                    connection.take(len(LONG_BODY))
+                    return True
+
+                self.call_target(answer, f"/v1/services/records/{name}",
+                                 LONG_BODY)
+                for _ in range(SHORT_CALLS):
+                    self.call_target(answer, "/v1/services/records/lookup")
+                reads_on.set()
+                time.sleep(READ_TIME_S)
+
     # The caller must get an error of the instance.
     def check_bad_answer(self, what, name, text):
         def answer(connection, head):
@@ -192,6 +227,8 @@
         self.check_good_answers()
         if case == "lines":
             self.check_lines()
+        elif case == "early":
+            self.check_early_answers()
         else:
             self.check_uploads(rng)
         self.check_good_answers()
@@ -199,7 +236,7 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--case", required=True, choices=("lines", "uploads"))
+    parser.add_argument("--case", required=True, choices=("lines", "uploads", "early"))
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--port", type=int, default=PORT)
     arguments = parser.parse_args()
--- a/meta/forwarding_stand_ins.py
+++ b/meta/forwarding_stand_ins.py
@@ -137,13 +137,6 @@
     return "%s:%d" % store.server_address
 
 
-# Returns an address that refuses connections while the socket exists.
-def refusing_address():
-    sock = socket.socket()
-    sock.bind((HOST, 0))
-    return sock, "%s:%d" % sock.getsockname()
-
-
 class Instance:
     """One process of the forwarding interface. `extra` ends its settings;
     `build` is the folder of its program."""
@@ -178,7 +171,7 @@
                 [self.build / "daisypond-entry", "--config", self.settings],
                 stdout=log, stderr=subprocess.STDOUT)
 
-    # Targets of requests that went through a peer so far.
+    # Number of requests that have gone through a peer so far.
     def count_tunnelled_sends(self):
         return self.log.read_text().count(" via=i")
 
@@ -188,3 +181,54 @@
 
     def signal(self, number):
         self.process.send_signal(number)
+
+
+class Group:
+    """The instance that callers use, with or without a peer that connects it to
+    the targets. `rows` has the row of each target by its id. With a peer, the
+    instance itself finds no target at its address.
+    """
+
+    def __init__(self, port, folder, configuration, rows, extra,
+                 is_tunnelled=False, peer_build=BUILD):
+        self.is_tunnelled = is_tunnelled
+        self.tables, self.instances = [], []
+        if is_tunnelled:
+            # Refuses connections as long as it exists.
+            self.refusing = socket.socket()
+            self.refusing.bind((HOST, 0))
+            address = "%s:%d" % self.refusing.getsockname()
+            self.add(port, folder, configuration, {
+                name: row | {"address": address}
+                for name, row in rows.items()}, extra, BUILD)
+            self.add(port, folder, configuration, rows, extra, peer_build)
+        else:
+            self.add(port, folder, configuration, rows, extra, BUILD)
+
+    def add(self, port, folder, configuration, rows, extra, build):
+        index = len(self.instances)
+        tables = Tables()
+        tables.put("op", "config", configuration)
+        for name, row in rows.items():
+            tables.put("servers", name, row)
+        self.tables.append(tables)
+        self.instances.append(Instance(
+            index, port, folder, start_store(tables), build=build,
+            extra=f"tunnel_listen: {HOST}:{port + 8 + index}\n" + extra))
+
+    def remove_target(self, name):
+        for it in self.tables:
+            it.put_encoded("servers", name, None)
+
+    def start(self):
+        for it in self.instances:
+            it.start()
+
+    def kill(self):
+        for it in self.instances:
+            it.kill()
+
+    # False if the peer should have been used and was not.
+    def has_gone_as_told(self):
+        return not self.is_tunnelled or (
+            self.instances[0].count_tunnelled_sends() > 0)
--- a/meta/long_upload_test.py
+++ b/meta/long_upload_test.py
@@ -15,8 +15,7 @@
 import time
 
 from broken_answer_stand_ins import Server, call, new_id
-from forwarding_stand_ins import (
-    BUILD, HOST, Instance, Tables, refusing_address, start_store)
+from forwarding_stand_ins import BUILD, HOST, Group
 
 TARGETS = 3
 START_S = 1.5
@@ -77,27 +76,14 @@
         self.arrivals = {}
         self.lock = threading.Lock()
         self.failures = []
-        self.is_tunnelled = is_tunnelled
-        addresses = [Server(self.serve).address for _ in range(TARGETS)]
-        self.instances = [self.make_instance(0, port, addresses)]
-        if is_tunnelled:
-            # The first instance finds no target where its table service says.
-            self.refusing, address = refusing_address()
-            self.instances = [
-                self.make_instance(0, port, [address] * TARGETS),
-                self.make_instance(1, port, addresses, peer_build)]
+        rows = {f"t{i}": row(Server(self.serve).address, f"d{i}")
+                for i in range(TARGETS)}
+        self.group = Group(
+            port, self.folder, configuration(), rows,
+            "memory_mb: 256\nretries:\n  window_s: 10\n"
+            "  ratio: 0.8\n  slack: 150\n", is_tunnelled, peer_build)
         self.address = f"{HOST}:{port}"
 
-    def make_instance(self, index, port, addresses, build=BUILD):
-        tables = Tables()
-        tables.put("op", "config", configuration())
-        for i, it in enumerate(addresses):
-            tables.put("servers", f"t{i}", row(it, f"d{i}"))
-        return Instance(
-            index, port, self.folder, start_store(tables), build=build,
-            extra=f"tunnel_listen: {HOST}:{port + 8 + index}\nmemory_mb: 256\n"
-                  "retries:\n  window_s: 10\n  ratio: 0.8\n  slack: 150\n")
-
     def fail(self, text):
         with self.lock:
             self.failures.append(text)
@@ -256,8 +242,7 @@
         raise RuntimeError("no request is answered")
 
     def run(self, case):
-        for it in self.instances:
-            it.start()
+        self.group.start()
         try:
             time.sleep(START_S)
             self.wait_for_targets()
@@ -271,12 +256,10 @@
                 run_all(lambda check: check("idem"),
                         [self.check_slow_target] * SLOW_REQUESTS +
                         [self.check_stalled_target])
-            if self.is_tunnelled and not (
-                    self.instances[0].count_tunnelled_sends()):
+            if not self.group.has_gone_as_told():
                 self.fail("no request went through the peer")
         finally:
-            for it in self.instances:
-                it.kill()
+            self.group.kill()
 
 
 def run_all(check, arguments):
--- a/meta/silent_target_test.py
+++ b/meta/silent_target_test.py
@@ -16,23 +16,25 @@
 import time
 
 from broken_answer_stand_ins import Server, call, new_id
-from forwarding_stand_ins import HOST, Instance, Tables, start_store
+from forwarding_stand_ins import HOST, Group
 
 TARGETS = 2
 START_S = 1.5
+MAXIMUM_TRIES, RETRY_PAUSE_S = 50, 0.2
 DEADLINE_MS = 15_000
 LATENCY_OBJECTIVE_MS, EVENT_GAP_OBJECTIVE_MS = 1000, 700
 # After such a pause callers leave a stream.
 TOLERATED_PAUSE_S = max(2, 4 * LATENCY_OBJECTIVE_MS / 1000,
                         8 * EVENT_GAP_OBJECTIVE_MS / 1000)
-ROUTES = {"once": "non_idempotent", "stream": "streaming"}
+ROUTES = {"once": "non_idempotent", "idem": "idempotent",
+          "stream": "streaming"}
+MEMORY_MB, SMALL_MEMORY_MB = 256, 64
 REQUESTS = 8
 EVENTS, SILENT_AT_EVENT, EVENT_PAUSE_S = 20, 8, 0.04
 LONG_ANSWER = b"a" * 6_000_000
 SILENCES_S = (1.0, 1.7)
-# Where the target falls silent.
-PLACES = ("before_head", "after_head", "between_events", "within_event",
-          "within_body")
+# Where the target of a stream falls silent.
+STREAM_PLACES = ("before_head", "after_head", "between_events", "within_event")
 # The table service drops the row of a target that is gone.
 ROW_REMOVED_AFTER_S = 1.0
 
@@ -130,22 +132,21 @@
 
 
 class Test:
-    def __init__(self, port):
+    def __init__(self, port, memory_mb, is_tunnelled):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="daisypond-silent-"))
         self.arrivals = {}
         self.lock = threading.Lock()
         self.failures = []
+        # Answers that were passed on in parts.
+        self.parts = 0
         self.place, self.silence_s, self.silent_target = "", 0, None
         self.on_silent = lambda target: None
-        self.tables = Tables()
-        self.tables.put("op", "config", configuration())
         self.targets = [Target(self, f"t{i}") for i in range(TARGETS)]
-        for it in self.targets:
-            self.tables.put("servers", it.name, row(it.address, it.name))
-        self.instance = Instance(
-            0, port, self.folder, start_store(self.tables),
-            extra="memory_mb: 256\nretries:\n  window_s: 10\n"
-                  "  ratio: 0.8\n  slack: 150\n")
+        self.group = Group(
+            port, self.folder, configuration(),
+            {it.name: row(it.address, it.name) for it in self.targets},
+            f"memory_mb: {memory_mb}\nretries:\n  window_s: 10\n"
+            "  ratio: 0.8\n  slack: 150\n", is_tunnelled)
         self.address = f"{HOST}:{port}"
 
     def fail(self, text):
@@ -184,14 +185,17 @@
     # A silent target goes on; its answers must reach the callers whole.
     def check_silence(self, place, silence_s, route):
         self.silence(place, silence_s)
-        self.instance.signal(signal.SIGHUP)
-        whole = (LONG_ANSWER if route == "once" else
-                 b"".join(event(n) for n in range(1, EVENTS + 1)))
+        for it in self.group.instances:
+            it.signal(signal.SIGHUP)
+        whole = (b"".join(event(n) for n in range(1, EVENTS + 1))
+                 if route == "stream" else LONG_ANSWER)
         n_cut = 0
         for name, got, _ in self.send_all(route):
             n_cut += (got.status != 200 or not got.is_complete or
                       got.body != whole)
-            if self.arrivals.get(name) != 1:
+            # An answer with a length is passed on in chunks if it is in parts.
+            self.parts += route != "stream" and "content-length" not in got.fields
+            if route != "idem" and self.arrivals.get(name) != 1:
                 self.fail(f"{route} {name}: ran {self.arrivals.get(name)} times")
         if n_cut:
             self.fail(f"{n_cut} of {REQUESTS} answers of route {route} were cut "
@@ -203,8 +207,7 @@
         self.silence("between_events", DEADLINE_MS / 1000)
         self.on_silent = lambda target: threading.Timer(
             ROW_REMOVED_AFTER_S,
-            lambda: self.tables.put_encoded("servers", target.name, None)
-        ).start()
+            lambda: self.group.remove_target(target.name)).start()
         n_cut = 0
         for name, got, took_s in self.send_all("stream"):
             n_cut += not got.is_complete
@@ -214,26 +217,59 @@
         if not n_cut:
             self.fail("no stream was cut")
 
-    def run(self):
-        self.instance.start()
+    # Sends streams until one is answered, with no target silent.
+    def wait_for_targets(self):
+        for _ in range(MAXIMUM_TRIES):
+            if self.send("stream")[1].status == 200:
+                return
+            time.sleep(RETRY_PAUSE_S)
+        raise RuntimeError("no request is answered")
+
+    def check_silences(self, place, route):
+        for silence_s in SILENCES_S:
+            self.check_silence(place, silence_s, route)
+            # Targets that were silent are avoided for a while.
+            time.sleep(1)
+
+    # The answers that are passed on in parts can't be replaced once they have
+    # begun, whatever the route.
+    def check_parts(self):
+        for route in ("once", "idem"):
+            self.parts = 0
+            self.check_silences("within_body", route)
+            if not self.parts:
+                self.fail(f"{route}: no answer was passed on in parts")
+
+    def run(self, case):
+        self.group.start()
         try:
             time.sleep(START_S)
-            for place in PLACES:
-                for silence_s in SILENCES_S:
-                    route = "once" if place == "within_body" else "stream"
-                    self.check_silence(place, silence_s, route)
-                    # Targets that were silent are avoided for a while.
-                    time.sleep(1)
-            self.check_gone_target()
+            self.wait_for_targets()
+            if case == "parts":
+                self.check_parts()
+            else:
+                for place in STREAM_PLACES:
+                    self.check_silences(place, "stream")
+                self.check_silences("within_body", "once")
+                self.check_gone_target()
+            if not self.group.has_gone_as_told():
+                self.fail("no request went through the peer")
         finally:
-            self.instance.kill()
+            self.group.kill()
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--case", required=True, choices=("whole", "parts"),
+                        help="answers that are passed on as a whole or in parts")
+    parser.add_argument("--tunnel", action="store_true",
+                        help="reach the targets through a peer")
     parser.add_argument("--port", type=int, default=24800)
-    test = Test(parser.parse_args().port)
-    test.run()
+    arguments = parser.parse_args()
+    test = Test(arguments.port,
+                SMALL_MEMORY_MB if arguments.case == "parts" else MEMORY_MB,
+                arguments.tunnel)
+    test.run(arguments.case)
     print(f"{len(test.failures)} violations; logs in {test.folder}")
     return 1 if test.failures else 0
 
