Streams of minutes go on at their version, and only there

Cause: three constants stood for one fact, until when a caller may come back to a stream: 30 s for the recent versions of a service, 60 s for records in memory, 60 s for rows of the table service. None knew the route's timeout or the caller's deadline. After them nobody had a record and the new version passed for the only one there had been.

Change: a record states until when its stream is resumable, and is kept until then in memory and in the table service. A version counts as recent, and a service as observed, for the longest timeout of the service's resumable routes (StreamLifetimes), also after a configuration that shortens it. Other builds: rows state their time so that earlier builds keep them as long, a keeper of an earlier build is not given long records, and the answer to FindStream says how long the service has been observed. Deployments with timeouts up to 30 s keep their times.

Why it works: what proves the origin of a stream now lives as long as any caller may ask for it, and "the only version" is concluded only after that time.

--- a/meta/all_instances_killed_test.py
+++ b/meta/all_instances_killed_test.py
@@ -41,6 +41,9 @@
     protocol_version = "HTTP/1.1"
 
     def do_GET(self):
+        if self.server.has_ended:
+            self.close_connection = True
+            return
         body = json.dumps({
             "stage": "colocated", "busy": False, "seq": 1, "handles": 0,
             "models": [{"name": "m", "version": 1, "adapters": []}],
@@ -62,8 +65,11 @@
         self.end_headers()
         first = int(self.headers.get("Last-Event-Id", 0)) + 1
         try:
-            for n in range(first, EVENTS + 1):
-                time.sleep(EVENT_GAP_S)
+            for n in range(first, self.server.n_events + 1):
+                time.sleep(self.server.event_gap_s)
+                if self.server.has_ended:
+                    self.close_connection = True
+                    return
                 event = f"id: {n}\ndata: {self.server.version}\n\n".encode()
                 self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             self.wfile.write(b"0\r\n\r\n")
@@ -77,8 +83,12 @@
 class Engine(http.server.ThreadingHTTPServer):
     daemon_threads = True
 
-    def __init__(self, name, version, domain):
+    def __init__(self, name, version, domain, n_events=EVENTS,
+                 event_gap_s=EVENT_GAP_S):
         super().__init__((HOST, 0), EngineHandler)
+        self.n_events = n_events
+        self.event_gap_s = event_gap_s
+        self.has_ended = False
         self.name = name
         self.version = version
         self.domain = domain
@@ -89,6 +99,12 @@
                 "zone": self.domain, "version": self.version, "slots": 64,
                 "state": "ready", "seq": 1, "born": 1000}
 
+    # Breaks off all streams.
+    def end(self):
+        self.has_ended = True
+        self.shutdown()
+        self.server_close()
+
     def handle_error(self, *_):
         pass  # Connections of killed instances.
 
@@ -96,6 +112,10 @@
 class Stream(threading.Thread):
     """A caller that takes its stream up again when it breaks off."""
 
+    deadline_s = DEADLINE_S
+    # Ends an attempt when the stream has so many events.
+    n_wanted = None
+
     def __init__(self, name, instances, rng):
         super().__init__(daemon=True)
         self.name = name
@@ -108,7 +128,7 @@
 
     def run(self):
         first, tries = "", 0
-        while time.monotonic() < self.begun_at + DEADLINE_S:
+        while time.monotonic() < self.begun_at + self.deadline_s:
             tries += 1
             attempt = f"{self.name}-{tries}"
             had_events = bool(self.versions)
@@ -120,7 +140,8 @@
             time.sleep(0.3)
 
     def receive(self, attempt, first):
-        left_ms = int((self.begun_at + DEADLINE_S - time.monotonic()) * 1000)
+        left_ms = int(
+            (self.begun_at + self.deadline_s - time.monotonic()) * 1000)
         headers = {
             "Host": "h", "X-Attempt-Id": attempt, "X-Model": "m",
             "X-Token-Counts": "100,100", "X-Deadline-Ms": str(left_ms),
@@ -139,6 +160,8 @@
                     break
                 if line.startswith(b"data: "):
                     self.versions.append(line[6:].decode().strip())
+                    if len(self.versions) == self.n_wanted:
+                        break
         except (OSError, http.client.HTTPException):
             pass  # The instance was killed.
         finally:
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -27,6 +27,7 @@
 #include "forward/response_reader.h"
 #include "forward/run_copy.h"
 #include "forward/send_tracker.h"
+#include "forward/stream_lifetimes.h"
 #include "forward/suspected_content.h"
 #include "forward/take_permit.h"
 #include "forward/target_call.h"
@@ -319,10 +320,16 @@
   void RecordStream(const std::string& id, RecordState state) {
     if (forwarder_->record_stream && !id.empty() &&
         route_->repeatability == catalog::Repeatability::kResumable) {
-      forwarder_->record_stream(id, {service_name_, *stream_version_}, state);
+      forwarder_->record_stream(id, MakeStreamRecord(*stream_version_), state);
     }
   }
 
+  StreamRecord MakeStreamRecord(const std::string& version) const {
+    return {service_name_, version,
+            ResumableUntil(request_.arrived_at, request_info_.caller_timeout,
+                           route_->timeout)};
+  }
+
   // ---- The loop over targets.
 
   net::asio::awaitable<ConnectionReuse> SendUntilAnswered() {
@@ -1642,7 +1649,7 @@
     FirstEventDecision decision = FirstEventDecision::kBegin;
     if (route_->repeatability == catalog::Repeatability::kResumable) {
       std::string id = request_info_.id;
-      StreamRecord record{service_name_, placement.version};
+      StreamRecord record = MakeStreamRecord(placement.version);
       decision = co_await RecordFirstEvent(forwarder_, std::move(id),
                                            std::move(record));
     }
--- a/src/forward/stream_record.h
+++ b/src/forward/stream_record.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "base/clock.h"
 #include "base/name_table.h"
 
 namespace daisypond::forward {
@@ -12,6 +13,9 @@
 struct StreamRecord {
   std::string service;
   std::string version;
+  /// Until when a caller may take the stream up, on this instance's clock. Zero
+  /// if that is not known.
+  base::Millis resumable_until{0};
 
   bool operator==(const StreamRecord&) const = default;
 };
--- a/src/forward/version_history.cc
+++ b/src/forward/version_history.cc
@@ -22,8 +22,9 @@
     history.versions[target.version] = {now, true};
   }
   for (auto& service : services_) {
-    std::erase_if(service.second.versions,
-                  [&](const auto& it) { return !IsRecent(it.second, now); });
+    std::erase_if(service.second.versions, [&](const auto& it) {
+      return !IsRecent(service.first, it.second, now);
+    });
   }
 }
 
@@ -40,8 +41,11 @@
   }
 }
 
-bool VersionHistory::IsRecent(const Listed& version, base::Millis now) {
-  return version.is_listed || now - version.last_listed_at < kLongestStream;
+bool VersionHistory::IsRecent(const std::string& service,
+                              const Listed& version,
+                              base::Millis now) const {
+  return version.is_listed ||
+         now - version.last_listed_at < lifetimes_.Longest(service, now);
 }
 
 VersionCount VersionHistory::Count(const std::string& service,
@@ -51,9 +55,9 @@
     return VersionCount::kUnknown;
   }
   const ServiceHistory& history = found->second;
-  const auto n_versions =
-      std::count_if(history.versions.begin(), history.versions.end(),
-                    [&](const auto& it) { return IsRecent(it.second, now); });
+  const auto n_versions = std::count_if(
+      history.versions.begin(), history.versions.end(),
+      [&](const auto& it) { return IsRecent(service, it.second, now); });
   if (n_versions != 1) {
     return n_versions > 1 ? VersionCount::kSeveral : VersionCount::kUnknown;
   }
@@ -62,18 +66,23 @@
              : VersionCount::kUnknown;
 }
 
+base::Millis VersionHistory::ObservedFor(const std::string& service,
+                                         base::Millis now) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? base::Millis{0}
+                                  : now - found->second.observed_since;
+}
+
 bool VersionHistory::HasObserved(const std::string& service,
                                  base::Millis now) const {
-  const auto found = services_.find(service);
-  return found != services_.end() &&
-         now - found->second.observed_since >= kLongestStream;
+  return ObservedFor(service, now) >= lifetimes_.Longest(service, now);
 }
 
 ServiceVersions VersionHistory::RecentVersions(base::Millis now) const {
   ServiceVersions recent;
   for (const auto& service : services_) {
     for (const auto& it : service.second.versions) {
-      if (IsRecent(it.second, now)) {
+      if (IsRecent(service.first, it.second, now)) {
         recent[service.first].insert(it.first);
       }
     }
--- a/src/forward/version_history.h
+++ b/src/forward/version_history.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/name_table.h"
 #include "catalog/target.h"
+#include "forward/stream_lifetimes.h"
 
 namespace daisypond::forward {
 
@@ -32,9 +33,6 @@
 /// catalog. Reads no clock; all methods get the time as an argument.
 class VersionHistory {
  public:
-  /// A stream that is taken up again began within this time.
-  static constexpr base::Millis kLongestStream{30'000};
-
   void OnTargets(const catalog::Targets& targets, base::Millis now);
 
   /// Adds the versions that earlier instances have recorded, see
@@ -44,11 +42,15 @@
 
   /// Returns how many versions could have begun a stream of the service. A
   /// single version is certain only if this instance has observed the service
-  /// for kLongestStream or an earlier instance has recorded the version: a
-  /// service without a record may have had any other version before.
+  /// for as long as a stream lasts or an earlier instance has recorded the
+  /// version: a service without a record may have had any other version before.
   VersionCount Count(const std::string& service, base::Millis now) const;
 
-  /// True if this instance has observed the service for kLongestStream.
+  /// Returns how long this instance has observed the service.
+  base::Millis ObservedFor(const std::string& service, base::Millis now) const;
+
+  /// True if this instance has observed the service for as long as a stream
+  /// lasts.
   bool HasObserved(const std::string& service, base::Millis now) const;
 
   /// Returns the versions of each service that could have begun a stream.
@@ -58,6 +60,9 @@
   /// them.
   std::optional<std::string> LatestVersion(const std::string& service) const;
 
+  StreamLifetimes& Lifetimes() { return lifetimes_; }
+  const StreamLifetimes& Lifetimes() const { return lifetimes_; }
+
  private:
   struct Listed {
     base::Millis last_listed_at;
@@ -69,8 +74,12 @@
     std::map<std::string, Listed> versions;
   };
 
-  static bool IsRecent(const Listed& version, base::Millis now);
+  /// True if a stream that the version has begun may be taken up.
+  bool IsRecent(const std::string& service,
+                const Listed& version,
+                base::Millis now) const;
 
+  StreamLifetimes lifetimes_;
   std::map<std::string, ServiceHistory> services_;
 };
 
--- a/src/forward/version_history_test.cc
+++ b/src/forward/version_history_test.cc
@@ -27,7 +27,9 @@
   CPPUNIT_TEST(TestRecordedReleaseIsKnownAfterARestart);
   CPPUNIT_TEST(TestVersionReplacedBeforeAllInstancesRestartIsKnown);
   CPPUNIT_TEST(TestVersionReplacedWhileNoInstanceRanIsKnown);
+  CPPUNIT_TEST(TestVersionThatBeganAStreamOfMinutesIsKnown);
   CPPUNIT_TEST(TestRecordsExpireAndAreBounded);
+  CPPUNIT_TEST(TestRecordOfAStreamOfMinutesIsKept);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -51,10 +53,9 @@
     VersionHistory history;
     EXPECT(history.Count("s", {0}) == VersionCount::kUnknown);
     history.OnTargets({{"a", MakeTarget("a", "v1")}}, {0});
-    EXPECT(history.Count("s", VersionHistory::kLongestStream - Millis{1}) ==
+    EXPECT(history.Count("s", StreamLifetimes::kMinimum - Millis{1}) ==
            VersionCount::kUnknown);
-    EXPECT(history.Count("s", VersionHistory::kLongestStream) ==
-           VersionCount::kOne);
+    EXPECT(history.Count("s", StreamLifetimes::kMinimum) == VersionCount::kOne);
   }
 
   void TestRecordedReleaseIsKnownAfterARestart() {
@@ -89,12 +90,38 @@
     EXPECT(after.Count("s", {1}) == VersionCount::kSeveral);
   }
 
+  // Half a minute after it left, the next version passed for the only one.
+  void TestVersionThatBeganAStreamOfMinutesIsKnown() {
+    VersionHistory history;
+    history.Lifetimes().OnConfiguration({{"s", {120'000}}}, {0});
+    history.OnTargets({{"a", MakeTarget("a", "v1")}}, {0});
+    history.OnTargets({{"b", MakeTarget("b", "v2")}}, {6000});
+    EXPECT(history.Count("s", {62'000}) == VersionCount::kSeveral);
+    EXPECT(history.Count("s", {125'999}) == VersionCount::kSeveral);
+    EXPECT(history.Count("s", {126'000}) == VersionCount::kOne);
+    EXPECT(!history.HasObserved("s", {119'999}));
+    EXPECT(history.HasObserved("s", {120'000}));
+  }
+
+  // Records were dropped after a minute, whatever the deadline of the stream.
+  void TestRecordOfAStreamOfMinutesIsKept() {
+    StreamRecordTable table;
+    table.Add("x", {"s", "v1", {120'000}}, {0});
+    table.Add("y", {"s", "v1", {1000}}, {0});
+    // A later attempt that states less does not shorten the time.
+    table.Add("x", {"s", "v1", {100'000}}, {1000});
+    EXPECT(table.Find("x", {119'999}).has_value());
+    EXPECT(!table.Find("x", {120'000}).has_value());
+    EXPECT(table.Find("y", {59'999}).has_value());
+    EXPECT(!table.Find("y", {60'000}).has_value());
+  }
+
   void TestRecordsExpireAndAreBounded() {
     StreamRecordTable table;
     table.Add("x", {"s", "v1"}, {0});
     table.Add("y", {"s", "v2"}, {0});
     table.Add("x", {"s", "v1"}, {30'000});
-    const Millis later = StreamRecordTable::kRetentionPeriod;
+    const Millis later = StreamRecordTable::kMinimumRetention;
     EXPECT(table.Find("x", later).has_value());
     EXPECT(!table.Find("y", later).has_value());
     for (size_t i = 0; i < StreamRecordTable::kMaximumRecords; ++i) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -470,6 +470,12 @@
 
   /// Passes a catalog from the control thread to the traffic thread.
   void PublishCatalog(const catalog::Catalog& next) {
+    if (next.configuration != nullptr &&
+        next.configuration != published_configuration_) {
+      published_configuration_ = next.configuration;
+      peer_link_->StreamRecords().OnLongestTimeouts(
+          forward::LongestTimeouts(*next.configuration));
+    }
     if (next.targets != nullptr) {
       peer_link_->StreamRecords().OnTargets(*next.targets);
       PublishStreamBases();
@@ -796,6 +802,7 @@
   base::Millis suspects_at_;
   /// Of the control thread: what was last passed to the traffic thread.
   forward::StreamBases stream_bases_;
+  std::shared_ptr<const catalog::Configuration> published_configuration_;
   /// Of the traffic thread: true while ShareParts() waits.
   bool is_sharing_parts_ = false;
   StopSchedule stop_schedule_;
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -100,7 +100,7 @@
   PeerLink(const Settings& settings,
            base::Metrics* metrics,
            PeerLinkCallbacks callbacks,
-           uint32_t feature_level = membership::kKeepsStreamOrigins);
+           uint32_t feature_level = membership::kFeatureLevel);
 
   /// False when the address for peers could not be bound.
   bool IsRunning() const { return server_.IsRunning(); }
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -88,7 +88,7 @@
   Member(const std::string& name,
          const std::string& address,
          const std::vector<std::string>& seeds,
-         uint32_t feature_level = membership::kKeepsStreamOrigins) {
+         uint32_t feature_level = membership::kFeatureLevel) {
     Settings settings;
     settings.instance = name;
     settings.failure_domain = "d";
@@ -554,8 +554,8 @@
     const auto is_known = [&] {
       return a.FindStream("s1").source == forward::VersionSource::kOnlyVersion;
     };
-    EXPECT(BecomesTrue(is_known,
-                       forward::VersionHistory::kLongestStream + kTimeout));
+    EXPECT(
+        BecomesTrue(is_known, forward::StreamLifetimes::kMinimum + kTimeout));
     EXPECT_EQ(std::string("v1"), a.FindStream("s1").record.version);
     target.version = "v2";
     a.SetTargets({{"t1", target}});
--- a/src/gateway/shared_stream_records.cc
+++ b/src/gateway/shared_stream_records.cc
@@ -12,6 +12,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "gateway/shared_request_limit.h"
+#include "gateway/stream_record_queue.h"
 #include "membership/copy_peers.h"
 
 namespace daisypond::gateway {
@@ -29,10 +30,15 @@
 constexpr size_t kMaximumWriters = 16;
 // Number of instances that store records in a large group.
 constexpr uint64_t kKeepers = 2;
-constexpr size_t kMaximumOwnRecords = 10'000;
+// A peer may state any time for which a stream is resumable; it counts up to
+// this one.
+constexpr base::Millis kMaximumStreamTime{24 * 3'600'000};
 // How long a keeper has to store a record for which a stream waits. After that
 // the instance that serves the stream stores it itself.
 constexpr base::Millis kAwaitedCallTimeout{300};
+// How long an instance of an older build has observed a service of which it
+// states the only version.
+constexpr base::Millis kObservedByOlderBuilds{30'000};
 // Members that read the records of versions again do so within this time for
 // each member, 20 calls a second.
 constexpr base::Millis kReadSpreadPerMember{50};
@@ -40,6 +46,8 @@
 
 /// The search for the origin of a stream among the peers.
 struct Search {
+  /// How long the caller may have had the stream.
+  base::Millis longest_stream{0};
   size_t n_asked = 0;
   size_t n_pending = 0;
   size_t n_answered = 0;
@@ -54,7 +62,12 @@
 
   void Add(const peer::FindStreamReply& reply) {
     const auto count = static_cast<forward::VersionCount>(reply.versions());
-    is_only_version_known |= count == forward::VersionCount::kOne;
+    const base::Millis observed_for =
+        reply.observed_ms() == 0
+            ? kObservedByOlderBuilds
+            : base::Millis{static_cast<int64_t>(reply.observed_ms())};
+    is_only_version_known |=
+        count == forward::VersionCount::kOne && observed_for >= longest_stream;
     has_several_versions |= count == forward::VersionCount::kSeveral;
     if (reply.has_version()) {
       versions.insert(reply.version());
@@ -89,9 +102,20 @@
   request.set_id(id);
   request.set_service(record.service);
   request.set_version(record.version);
+  const base::Millis left = record.resumable_until - base::Clock::Now();
+  request.set_resumable_ms(
+      static_cast<uint64_t>(std::max(left.count, int64_t{0})));
   return request;
 }
 
+/// Returns the record in a request that arrived at `now`.
+forward::StreamRecord FromProto(const peer::RecordStreamRequest& request,
+                                base::Millis now) {
+  const auto left = static_cast<int64_t>(
+      std::min<uint64_t>(request.resumable_ms(), kMaximumStreamTime.count));
+  return {request.service(), request.version(), now + base::Millis{left}};
+}
+
 forward::StreamOrigin RecordedOrigin(const peer::FindStreamReply& reply) {
   return {forward::VersionSource::kRecord, {reply.service(), reply.version()}};
 }
@@ -106,6 +130,7 @@
              {"software", origin.record.version},
              {"asked", search.n_asked},
              {"answered", search.n_answered},
+             {"longest_stream_ms", search.longest_stream.count},
              {"several_versions", search.has_several_versions}});
 }
 
@@ -114,8 +139,10 @@
 void SharedStreamRecords::Record(const std::string& id,
                                  const forward::StreamRecord& record,
                                  forward::RecordState state) {
-  records_.Add(id, record, base::Clock::Now());
-  AddOwnRecord(id, record);
+  const base::Millis now = base::Clock::Now();
+  records_.Add(id, record, now);
+  own_records_.Add(id, record, now);
+  OnStream(record);
   if (state == forward::RecordState::kNotStored && IsRecordStored(record)) {
     Store(id, record);
   }
@@ -143,7 +170,7 @@
     done(forward::RecordOutcome::kStored);
     return;
   }
-  const std::string keeper = KeeperOf(id);
+  const std::string keeper = KeeperOf(id, record);
   if (keeper.empty()) {
     storage_.add_first(id, record, std::move(done));
     return;
@@ -180,18 +207,14 @@
   });
 }
 
-void SharedStreamRecords::AddOwnRecord(const std::string& id,
-                                       const forward::StreamRecord& record) {
-  const base::Millis now = base::Clock::Now();
-  own_records_.push_back({now, id, record});
-  while (own_records_.size() > kMaximumOwnRecords ||
-         now - own_records_.front().added_at >=
-             forward::VersionHistory::kLongestStream) {
-    own_records_.pop_front();
-  }
+void SharedStreamRecords::OnStream(const forward::StreamRecord& record) {
+  bases_.Lifetimes().OnStream(record.service, record.resumable_until,
+                              base::Clock::Now());
 }
 
-std::string SharedStreamRecords::KeeperOf(const std::string& id) const {
+std::string SharedStreamRecords::KeeperOf(
+    const std::string& id,
+    const forward::StreamRecord& record) const {
   const auto& table = membership_->Table();
   const auto peers = table.Reachable();
   if (peers.size() < kMaximumWriters) {
@@ -200,12 +223,20 @@
   const std::string keeper = SelectPermitHolder(
       fmt::format("stream-records-{}", base::Hash(id) % kKeepers), table.Self(),
       peers);
-  return keeper == table.Self().address ? "" : keeper;
+  // A keeper of an older build removes the row too soon.
+  const bool is_long = record.resumable_until - base::Clock::Now() >
+                       StreamRecordQueue::kMinimumRetention;
+  const bool is_kept_too_short =
+      is_long && std::any_of(peers.begin(), peers.end(), [&](const auto& it) {
+        return it.address == keeper &&
+               it.feature_level < membership::kKeepsLongStreams;
+      });
+  return keeper == table.Self().address || is_kept_too_short ? "" : keeper;
 }
 
 void SharedStreamRecords::Store(const std::string& id,
                                 const forward::StreamRecord& record) {
-  const std::string keeper = KeeperOf(id);
+  const std::string keeper = KeeperOf(id, record);
   if (!keeper.empty()) {
     peer::RecordStreamRequest request = ToProto(id, record);
     request.set_is_to_be_stored(true);
@@ -224,12 +255,13 @@
       services.insert(it.first);
     }
   }
-  for (const OwnRecord& it : own_records_) {
-    if (services.contains(it.record.service) &&
-        !stored_services_.contains(it.record.service)) {
-      Store(it.id, it.record);
-    }
-  }
+  own_records_.ForEach(
+      now, [&](const std::string& id, const forward::StreamRecord& record) {
+        if (services.contains(record.service) &&
+            !stored_services_.contains(record.service)) {
+          Store(id, record);
+        }
+      });
   stored_services_ = std::move(services);
 }
 
@@ -237,6 +269,8 @@
                                const std::string& service,
                                const OriginCallback& done) {
   const auto search = std::make_shared<Search>();
+  search->longest_stream =
+      bases_.History().Lifetimes().Longest(service, base::Clock::Now());
   const auto finish = [id, search, done](const forward::StreamOrigin& origin) {
     if (!std::exchange(search->is_done, true)) {
       LogOrigin(id, *search, origin);
@@ -309,6 +343,11 @@
   StoreRecordsOfNewReleases();
 }
 
+void SharedStreamRecords::OnLongestTimeouts(
+    const forward::ServiceTimes& timeouts) {
+  bases_.Lifetimes().OnConfiguration(timeouts, base::Clock::Now());
+}
+
 void SharedStreamRecords::Update(std::optional<base::Millis> list_age,
                                  uint64_t era) {
   const auto peers = membership_->Table().Reachable();
@@ -359,7 +398,8 @@
 void SharedStreamRecords::AddRecord(
     const peer::RecordStreamRequest& request,
     std::function<void(peer::RecordStreamReply)> done) {
-  const forward::StreamRecord record{request.service(), request.version()};
+  const base::Millis now = base::Clock::Now();
+  const forward::StreamRecord record = FromProto(request, now);
   if (request.is_awaited() && storage_.add_first) {
     // The stream has not begun and may yet begin at another version.
     storage_.add_first(request.id(), record,
@@ -370,7 +410,8 @@
                        });
     return;
   }
-  records_.Add(request.id(), record, base::Clock::Now());
+  records_.Add(request.id(), record, now);
+  OnStream(record);
   if (request.is_to_be_stored() && storage_.add) {
     storage_.add(request.id(), record);
   }
@@ -396,6 +437,8 @@
     count = forward::VersionCount::kUnknown;
   }
   reply.set_versions(static_cast<uint32_t>(count));
+  reply.set_observed_ms(static_cast<uint64_t>(
+      bases_.History().ObservedFor(request.service(), now).count));
   const auto version = bases_.History().LatestVersion(request.service());
   if (version) {
     reply.set_version(*version);
--- a/src/gateway/shared_stream_records.h
+++ b/src/gateway/shared_stream_records.h
@@ -2,7 +2,6 @@
 #define DAISYPOND_GATEWAY_SHARED_STREAM_RECORDS_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <optional>
 #include <set>
@@ -15,6 +14,7 @@
 #include "base/clock.h"
 #include "catalog/row.h"
 #include "forward/stream_base.h"
+#include "forward/stream_lifetimes.h"
 #include "forward/stream_record.h"
 #include "forward/stream_record_table.h"
 #include "gateway/release_record.h"
@@ -101,6 +101,9 @@
   /// To be called with each new list of targets.
   void OnTargets(const catalog::Targets& targets);
 
+  /// To be called with the longest timeouts of each new configuration.
+  void OnLongestTimeouts(const forward::ServiceTimes& timeouts);
+
   /// The base versions of the services.
   StreamBaseTracker& Bases() { return bases_; }
 
@@ -129,15 +132,10 @@
   peer::FindStreamReply Answer(const peer::FindStreamRequest& request) const;
 
  private:
-  struct OwnRecord {
-    base::Millis added_at;
-    std::string id;
-    forward::StreamRecord record;
-  };
-
   /// Returns the address of the peer that stores the record; empty if this
   /// instance does.
-  std::string KeeperOf(const std::string& id) const;
+  std::string KeeperOf(const std::string& id,
+                       const forward::StreamRecord& record) const;
   void Store(const std::string& id, const forward::StreamRecord& record);
   /// Stores a record for which a stream waits and the keeper does not answer.
   void RecordWithoutKeeper(const std::string& id,
@@ -145,7 +143,7 @@
                            const RecordCallback& done);
   bool IsRecordStored(const forward::StreamRecord& record) const;
   void StoreRecordsOfNewReleases();
-  void AddOwnRecord(const std::string& id, const forward::StreamRecord& record);
+  void OnStream(const forward::StreamRecord& record);
 
   const peer::MembershipProtocol* membership_;
   peer::PeerClient* client_;
@@ -153,8 +151,8 @@
   forward::StreamRecordTable records_;
   StreamBaseTracker bases_;
   StreamRecordStorage storage_;
-  /// Records of streams that this instance served, oldest first.
-  std::deque<OwnRecord> own_records_;
+  /// Records of streams that this instance served.
+  forward::StreamRecordTable own_records_{forward::StreamLifetimes::kMinimum};
   /// Services with several versions and no base: all records are stored.
   std::set<std::string> stored_services_;
   bool has_seen_release_ = false;
--- a/src/gateway/stream_base_tracker.cc
+++ b/src/gateway/stream_base_tracker.cc
@@ -2,8 +2,6 @@
 
 namespace daisypond::gateway {
 
-using forward::VersionHistory;
-
 bool StreamBaseTracker::IsCommon(const Service& service,
                                  const std::string& version) {
   size_t n_targets = 0;
@@ -252,7 +250,7 @@
                                  bool is_first_record,
                                  base::Millis now) const {
   if (has_older_members_ || is_list_old_ || !era_ ||
-      now - undisturbed_since_ < VersionHistory::kLongestStream) {
+      now - undisturbed_since_ < history_.Lifetimes().Longest(service, now)) {
     return false;
   }
   const auto found = services_.find(service);
--- a/src/gateway/stream_base_tracker.h
+++ b/src/gateway/stream_base_tracker.h
@@ -27,10 +27,10 @@
  public:
   /// An instance whose list of targets is older does not know what the others
   /// have made of the record in the meantime. Well below
-  /// VersionHistory::kLongestStream, after which they may state another base.
+  /// StreamLifetimes::kMinimum, after which they may state another base.
   static constexpr base::Millis kMaximumListAge{10'000};
   /// A list that was ever older may lack a version that has come and gone, and
-  /// proves no single version for VersionHistory::kLongestStream.
+  /// proves no single version for as long as a stream lasts.
   static constexpr base::Millis kMaximumClaimAge{3000};
   /// A version becomes the base when it has been the only recent one for so
   /// long. By then all others know that it is, whose lists are not too old.
@@ -91,6 +91,7 @@
     return history_.RecentVersions(now);
   }
   const forward::VersionHistory& History() const { return history_; }
+  forward::StreamLifetimes& Lifetimes() { return history_.Lifetimes(); }
   bool HasOlderMembers() const { return has_older_members_; }
 
  private:
--- a/src/gateway/stream_base_tracker_test.cc
+++ b/src/gateway/stream_base_tracker_test.cc
@@ -17,7 +17,7 @@
 using base::Millis;
 
 constexpr Millis kStep{500};
-constexpr Millis kLongestStream = forward::VersionHistory::kLongestStream;
+constexpr Millis kLongestStream = forward::StreamLifetimes::kMinimum;
 
 catalog::Targets MakeTargets(const std::map<std::string, int>& versions) {
   catalog::Targets targets;
--- a/src/gateway/stream_record_queue.cc
+++ b/src/gateway/stream_record_queue.cc
@@ -10,18 +10,25 @@
 
 constexpr const char* kServiceField = "service";
 constexpr const char* kVersionField = "version";
+// Earlier builds write here when a row was stored, and remove it
+// kMinimumRetention later. A row that is kept for longer states a later time.
 constexpr const char* kStoredAtField = "stored_at_ms";
+// Callers' deadlines are known up to the time that messages take, and clocks of
+// instances differ.
+constexpr base::Millis kExpirySlack{10'000};
 
 }  // namespace
 
 catalog::Row EncodeStreamRecord(const std::string& id,
                                 const forward::StreamRecord& record,
-                                base::Millis unix_now) {
+                                base::Millis expires_at) {
+  const base::Millis stored_at =
+      expires_at - StreamRecordQueue::kMinimumRetention;
   catalog::Row row;
   row.key = id;
   row.value = base::WriteJson(base::Json{{kServiceField, record.service},
                                          {kVersionField, record.version},
-                                         {kStoredAtField, unix_now.count}});
+                                         {kStoredAtField, stored_at.count}});
   return row;
 }
 
@@ -34,10 +41,11 @@
   StoredStreamRecord stored;
   stored.record.service = base::StringField(json, kServiceField);
   stored.record.version = base::StringField(json, kVersionField);
-  stored.stored_at = {base::IntegerField(json, kStoredAtField)};
-  if (stored.record.service.empty() || stored.stored_at.count <= 0) {
+  const base::Millis stored_at{base::IntegerField(json, kStoredAtField)};
+  if (stored.record.service.empty() || stored_at.count <= 0) {
     return std::nullopt;
   }
+  stored.expires_at = stored_at + StreamRecordQueue::kMinimumRetention;
   return stored;
 }
 
@@ -55,21 +63,21 @@
 }
 
 void StreamRecordQueue::AddStored(const std::string& key,
-                                  base::Millis stored_at) {
-  const auto position = std::upper_bound(
-      order_.begin(), order_.end(), stored_at,
-      [](base::Millis at, const auto& it) { return at < it.first; });
-  order_.emplace(position, stored_at, key);
-  base::Millis& latest = stored_at_.try_emplace(key, stored_at).first->second;
-  latest = std::max(latest, stored_at);
+                                  base::Millis expires_at) {
+  base::Millis& latest = expires_at_.try_emplace(key, expires_at).first->second;
+  expiries_.erase({latest, key});
+  latest = std::max(latest, expires_at);
+  expiries_.emplace(latest, key);
 }
 
 bool StreamRecordQueue::AreRemovalsDue(base::Millis now) const {
-  const auto has_age = [&](size_t i, base::Millis age) {
-    return i < order_.size() && now - order_[i].first >= age;
-  };
-  return has_age(catalog::kMaximumRowsPerWrite - 1, kRetentionPeriod) ||
-         has_age(0, kRetentionPeriod + kRemovalDelay);
+  if (expiries_.empty() || now < expiries_.begin()->first) {
+    return false;
+  }
+  constexpr size_t kLast = catalog::kMaximumRowsPerWrite - 1;
+  return now >= expiries_.begin()->first + kRemovalDelay ||
+         (expiries_.size() > kLast &&
+          now >= std::next(expiries_.begin(), kLast)->first);
 }
 
 std::vector<catalog::Row> StreamRecordQueue::TakeBatch(base::Millis now,
@@ -81,20 +89,18 @@
     return batch;
   }
   while (!waiting_.empty() && batch.size() < kMaximumRecords) {
-    const std::string& id = waiting_.front().first;
-    batch.push_back(EncodeStreamRecord(id, waiting_.front().second, unix_now));
-    AddStored(id, now);
+    const auto& [id, record] = waiting_.front();
+    AddStored(id, std::max(record.resumable_until + kExpirySlack,
+                           now + kMinimumRetention));
+    batch.push_back(
+        EncodeStreamRecord(id, record, unix_now + (expires_at_[id] - now)));
     waiting_.pop_front();
   }
-  while (!order_.empty() && batch.size() < catalog::kMaximumRowsPerWrite &&
-         now - order_.front().first >= kRetentionPeriod) {
-    const auto it = stored_at_.find(order_.front().second);
-    // A record that was written again since is kept.
-    if (it != stored_at_.end() && it->second == order_.front().first) {
-      batch.push_back({it->first, "", true});
-      stored_at_.erase(it);
-    }
-    order_.pop_front();
+  while (!expiries_.empty() && batch.size() < catalog::kMaximumRowsPerWrite &&
+         now >= expiries_.begin()->first) {
+    batch.push_back({expiries_.begin()->second, "", true});
+    expires_at_.erase(expiries_.begin()->second);
+    expiries_.erase(expiries_.begin());
   }
   return batch;
 }
@@ -103,11 +109,13 @@
                                 base::Millis now) {
   for (const catalog::Row& it : batch) {
     const auto stored = DecodeStreamRecord(it);
-    if (stored) {
-      Add(it.key, stored->record);
-    } else {
-      AddStored(it.key, now - kRetentionPeriod);
+    if (!stored) {
+      AddStored(it.key, now);
+      continue;
     }
+    forward::StreamRecord record = stored->record;
+    record.resumable_until = expires_at_[it.key] - kExpirySlack;
+    Add(it.key, record);
   }
 }
 
--- a/src/gateway/stream_record_queue.h
+++ b/src/gateway/stream_record_queue.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,15 +16,16 @@
 
 namespace daisypond::gateway {
 
-/// Returns the row that stores a record under the attempt `id`.
+/// Returns the row that stores a record under the attempt `id` until
+/// `expires_at`, a Unix time.
 catalog::Row EncodeStreamRecord(const std::string& id,
                                 const forward::StreamRecord& record,
-                                base::Millis unix_now);
+                                base::Millis expires_at);
 
 struct StoredStreamRecord {
   forward::StreamRecord record;
   /// Unix time.
-  base::Millis stored_at;
+  base::Millis expires_at;
 };
 
 /// Returns nothing if the row is not one that EncodeStreamRecord() made.
@@ -34,9 +36,9 @@
 /// more. Reads no clock; methods get the time as an argument.
 class StreamRecordQueue {
  public:
-  /// How long a row is kept. Callers take streams up again within their
-  /// deadline.
-  static constexpr base::Millis kRetentionPeriod{60'000};
+  /// A row is kept as long as its stream is resumable, but not shorter than
+  /// this.
+  static constexpr base::Millis kMinimumRetention{60'000};
   /// Maximum number of records that wait; the oldest are dropped first.
   static constexpr size_t kMaximumWaiting = 5000;
 
@@ -50,9 +52,9 @@
   /// Removes a record that waits. Returns false if none does.
   bool Remove(const std::string& id);
 
-  /// Adds a row of the table that an instance wrote at `stored_at`, so that it
-  /// is removed in time. Of a row that can't be decoded that time is `now`.
-  void AddStored(const std::string& key, base::Millis stored_at);
+  /// Adds a row of the table that an instance wrote, so that it is removed at
+  /// `expires_at`.
+  void AddStored(const std::string& key, base::Millis expires_at);
 
   /// Returns the rows of the next transaction: records that wait, then rows
   /// whose retention period has passed. Empty if nothing needs to be written.
@@ -65,7 +67,7 @@
   void PutBack(const std::vector<catalog::Row>& batch, base::Millis now);
 
   size_t WaitingCount() const { return waiting_.size(); }
-  size_t StoredCount() const { return stored_at_.size(); }
+  size_t StoredCount() const { return expires_at_.size(); }
 
  private:
   static constexpr base::Millis kRemovalDelay{10'000};
@@ -73,11 +75,10 @@
   bool AreRemovalsDue(base::Millis now) const;
 
   std::deque<std::pair<std::string, forward::StreamRecord>> waiting_;
-  /// By key of a row: when it was last written.
-  std::map<std::string, base::Millis> stored_at_;
-  /// All writes, oldest first. A key that was written again stands here several
-  /// times.
-  std::deque<std::pair<base::Millis, std::string>> order_;
+  /// By key of a row.
+  std::map<std::string, base::Millis> expires_at_;
+  /// Keys of the rows by the time at which they expire.
+  std::set<std::pair<base::Millis, std::string>> expiries_;
 };
 
 }  // namespace daisypond::gateway
--- a/src/gateway/stream_record_queue_test.cc
+++ b/src/gateway/stream_record_queue_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(TestRecordIsInTheNextBatch);
   CPPUNIT_TEST(TestLostBatchIsWrittenAgain);
   CPPUNIT_TEST(TestRowsAreRemovedAndTheTableIsBounded);
+  CPPUNIT_TEST(TestRowOfAStreamOfMinutesIsKept);
   CPPUNIT_TEST(TestUnreadableRowsAreRejected);
   CPPUNIT_TEST(TestReleaseRecordIsReadByOtherBuilds);
   CPPUNIT_TEST_SUITE_END();
@@ -90,6 +91,35 @@
     EXPECT(tables.streams.empty());
   }
 
+  // Rows were removed after a minute, whatever the deadline of the stream.
+  void TestRowOfAStreamOfMinutesIsKept() {
+    const Millis until{120'000};
+    StreamRecordQueue queue;
+    queue.Add("long", {"s", "v1", until});
+    queue.Add("short", {"s", "v1", {25'000}});
+    const auto lost = queue.TakeBatch({0}, kUnixNow);
+    queue.PutBack(lost, {1000});
+    const auto batch = queue.TakeBatch({1000}, kUnixNow + Millis{1000});
+    EXPECT_EQ(size_t{2}, batch.size());
+    EXPECT(DecodeStreamRecord(batch[0])->expires_at >= kUnixNow + until);
+    // An earlier build removes a row 60 s after the time that the row states.
+    EXPECT(DecodeStreamRecord(batch[1])->expires_at ==
+           kUnixNow + Millis{61'000});
+    EXPECT_EQ(std::string(R"({"service":"s","stored_at_ms":1700000001000,)"
+                          R"("version":"v1"})"),
+              batch[1].value);
+    std::map<std::string, Millis> removed_at;
+    for (Millis now{2000}; now < Millis{200'000}; now = now + kWritePeriod) {
+      for (const catalog::Row& it : queue.TakeBatch(now, kUnixNow + now)) {
+        EXPECT(it.is_removed);
+        removed_at[it.key] = now;
+      }
+    }
+    EXPECT(removed_at["long"] >= until);
+    EXPECT(removed_at["short"] >= Millis{61'000});
+    EXPECT(removed_at["short"] < until);
+  }
+
   void TestUnreadableRowsAreRejected() {
     EXPECT(!DecodeStreamRecord({"a", "", false}));
     EXPECT(!DecodeStreamRecord({"a", "[1]", false}));
--- a/src/gateway/stream_record_store.h
+++ b/src/gateway/stream_record_store.h
@@ -142,6 +142,9 @@
     LookupCallback done;
   };
   static constexpr base::Millis kExpiryPeriod{50};
+  /// A row that instances have left behind counts as kept for this time at most
+  /// from when it is found.
+  static constexpr base::Millis kMaximumTimeLeft{120'000};
 
   typename Waiters::iterator Finish(typename Waiters::iterator it,
                                     forward::RecordOutcome outcome) {
@@ -232,12 +235,13 @@
     if (!stored) {
       ReportUnreadable(row.key);
     }
-    // Clocks may differ: no row counts as written in the future.
-    const base::Millis age =
-        stored ? std::max(base::Millis{0},
-                          base::Clock::UnixNow() - stored->stored_at)
-               : base::Millis{0};
-    queue_.AddStored(row.key, base::Clock::Now() - age);
+    // The clock of the writer may be wrong. A row that is still there at the
+    // next clean-up is judged again.
+    const base::Millis left =
+        stored ? std::min(stored->expires_at - base::Clock::UnixNow(),
+                          kMaximumTimeLeft)
+               : StreamRecordQueue::kMinimumRetention;
+    queue_.AddStored(row.key, base::Clock::Now() + left);
   }
 
   boost::asio::awaitable<void> RunLookups() {
--- a/src/membership/peer_state.h
+++ b/src/membership/peer_state.h
@@ -21,6 +21,13 @@
 /// event of a stream on only when the stream's origin is certain.
 inline constexpr uint32_t kKeepsStreamOrigins = 1;
 
+/// The level at which an instance stores the record of a stream for as long as
+/// the stream is resumable.
+inline constexpr uint32_t kKeepsLongStreams = 2;
+
+/// The level of this build.
+inline constexpr uint32_t kFeatureLevel = kKeepsLongStreams;
+
 /// The membership state of an instance, as it reports itself or as a peer knows
 /// it.
 struct PeerState {
