A stream taken up after its last event is ended, not refused

What callers saw: an instance was killed while streams lacked only their end.

Cause: asked to go on after the last event, a target answers 200 and ends the stream. RelayStream counted an answer as torn unless the same attempt had passed on an event, and a torn answer is the loss of a target and evidence against the request and its prompt parts.

With the old condition put back, TestStreamTakenUpAfterItsLastEventIsEnded and TestNewStreamWithoutEventsIsNoLossOfItsTarget fail.

Change: FailureAtEndOfRun (run_end.h). A whole answer without events is the end of the stream if the caller has events of it, of this attempt or of the one that it takes up. For a new stream it is an empty answer (reason empty_answer): tried at another target, but no loss. Resets, cut bodies and ends inside an event are torn as before, and count as evidence as before (test with four of them).

Why it works: only the end of the answer itself, not the number of its events, says whether the target has sent all that it has.

--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -88,9 +88,11 @@
   kRequestStalled,
   /// The request's body has a transfer coding that is not read.
   kUnknownCoding,
+  /// The target answered a stream without any event.
+  kEmptyAnswer,
 };
 
-inline constexpr NameTable<Reason, 43> kReasonNames("none",
+inline constexpr NameTable<Reason, 44> kReasonNames("none",
                                                     "bad_request",
                                                     "body_too_large",
                                                     "unauthorized",
@@ -132,7 +134,8 @@
                                                     "answer_without_end",
                                                     "no_room",
                                                     "request_stalled",
-                                                    "unknown_coding");
+                                                    "unknown_coding",
+                                                    "empty_answer");
 
 /// Which attempts with an idempotency key a verdict covers.
 enum class VerdictScope : uint8_t {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -26,6 +26,7 @@
 #include "forward/record_first_event.h"
 #include "forward/response_reader.h"
 #include "forward/run_copy.h"
+#include "forward/run_end.h"
 #include "forward/send_tracker.h"
 #include "forward/stream_lifetimes.h"
 #include "forward/suspected_content.h"
@@ -864,7 +865,8 @@
       // and the target has not failed.
       return;
     }
-    if (result.reason == base::Reason::kAnswerWithoutEnd) {
+    if (result.reason == base::Reason::kAnswerWithoutEnd ||
+        result.reason == base::Reason::kEmptyAnswer) {
       forwarder_->selector.OnFailure(placement.id, now);
       return;
     }
@@ -1757,14 +1759,11 @@
                              base::Reason::kAnswerWithoutEnd, std::nullopt};
       }
     }
-    if (status == ReadStatus::kTimedOut) {
-      co_return SendResult{SendOutcome::kUnknown, base::Reason::kTargetSilent,
-                           std::nullopt};
-    }
-    if (status == ReadStatus::kBroken || splitter.HasPartialEvent() ||
-        !HasStreamBegun()) {
-      co_return SendResult{SendOutcome::kUnknown, base::Reason::kAnswerTorn,
-                           std::nullopt};
+    const std::optional<base::Reason> failure = FailureAtEndOfRun(
+        {status, splitter.HasPartialEvent(),
+         HasStreamBegun() || IsResumedByCaller(), reader->HasDelimitedBody()});
+    if (failure) {
+      co_return SendResult{SendOutcome::kUnknown, *failure, std::nullopt};
     }
     if (!reader->HasDelimitedBody()) {
       const bool is_whole = co_await IsEndOfAnswer(connection);
@@ -1779,7 +1778,8 @@
     RecordAnswer();
     forwarder_->OnRequestAnswered(LongRunContent(content_), Clock::Now());
     LogAnswer(reader->Status(), base::Reason::kNone);
-    const std::string last(kLastChunk);
+    std::string last = is_header_written_ ? "" : StreamHeader(*reader, reuse);
+    last += kLastChunk;
     const ConnectionReuse written = co_await WriteToCaller(last, reuse);
     co_return SendResult{SendOutcome::kAnswered, base::Reason::kNone, written};
   }
@@ -1835,6 +1835,14 @@
     return route_->event_gap_objective * kSilenceTimeoutPercent / kPercentBase;
   }
 
+  static std::string StreamHeader(const ResponseReader& reader,
+                                  ConnectionReuse reuse) {
+    bhttp::fields fields = reader.Fields();
+    RemoveConnectionFields(&fields);
+    return FormatResponseHeader(reader.Status(), reader.ReasonPhrase(), fields,
+                                BodyFraming::kChunked, 0, reuse);
+  }
+
   net::asio::awaitable<bool> WriteEvents(const std::string& events,
                                          size_t n_events,
                                          const ResponseReader& reader,
@@ -1842,10 +1850,7 @@
     const Millis now = Clock::Now();
     std::string text;
     if (!is_header_written_) {
-      bhttp::fields fields = reader.Fields();
-      RemoveConnectionFields(&fields);
-      text = FormatResponseHeader(reader.Status(), reader.ReasonPhrase(),
-                                  fields, BodyFraming::kChunked, 0, reuse);
+      text = StreamHeader(reader, reuse);
       is_header_written_ = true;
       forwarder_->metrics->Observe(base::Timer::kFirstEvent,
                                    now - request_.arrived_at);
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -354,6 +354,9 @@
   CPPUNIT_TEST(TestStreamIsCutAtOnceWhenItsVersionIsGone);
   CPPUNIT_TEST(TestResumedStreamGoesOnOnlyAtTheVersionThatBeganIt);
   CPPUNIT_TEST(TestResumedStreamOfUnknownVersionIsRefusedAtOnce);
+  CPPUNIT_TEST(TestStreamTakenUpAfterItsLastEventIsEnded);
+  CPPUNIT_TEST(TestStreamTakenUpAfterItsLastEventIsNotEndedByATornAnswer);
+  CPPUNIT_TEST(TestNewStreamWithoutEventsIsNoLossOfItsTarget);
   CPPUNIT_TEST(TestFirstEventWaitsForItsRecordOrTheStreamBeginsAtTheBase);
   CPPUNIT_TEST(TestStreamEndsWhoseRecordMayBeStoredLater);
   CPPUNIT_TEST(TestEngineBusyWithPrefillIsAvoided);
@@ -786,6 +789,57 @@
     }
   }
 
+  // The rest of a stream that lacked only its end was taken for a torn answer:
+  // the stream was refused, and its prompt blocked as one that crashes targets.
+  void TestStreamTakenUpAfterItsLastEventIsEnded() {
+    const std::vector<std::string> rests = {
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Content-Length: 0\r\n\r\n", "Connection: close\r\n\r\n"};
+    std::atomic<int> n_lost = 0;
+    UseEnginesWithRests(rests, &n_lost);
+    for (size_t i = 0; i < rests.size(); ++i) {
+      for (int n = 0; n < 4; ++n) {
+        const std::string text = TakeUpStream(i, n);
+        EXPECT(text.starts_with("HTTP/1.1 200 "));
+        EXPECT(HeaderField(text, "Content-Length").empty());
+        EXPECT_EQ(std::string(",end"), EventIdsOf(text));
+      }
+    }
+    EXPECT_EQ(0, n_lost.load());
+    EXPECT_EQ(std::string("1,2,3,end"), EventIdsOf(ReadStream("new", "")));
+  }
+
+  void TestStreamTakenUpAfterItsLastEventIsNotEndedByATornAnswer() {
+    const std::vector<std::string> rests = {
+        "Transfer-Encoding: chunked\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n9\r\nid: 4",
+        "Content-Length: 9\r\n\r\nid: 4", "Connection: close\r\n\r\nid: 4\n"};
+    for (size_t i = 0; i < rests.size(); ++i) {
+      tearDown();
+      setUp();
+      std::atomic<int> n_lost = 0;
+      UseEnginesWithRests(rests, &n_lost);
+      EXPECT(!TakeUpStream(i, 0).starts_with("HTTP/1.1 200 "));
+      EXPECT(n_lost > 0);
+    }
+  }
+
+  void TestNewStreamWithoutEventsIsNoLossOfItsTarget() {
+    std::atomic<int> n_lost = 0;
+    AddEngines(2, [this](LoopbackConnection& connection,
+                         const std::string& header) {
+      if (++n_sends_ > 1) {
+        return Serve(connection, header, 3, 3);
+      }
+      return connection.Send(
+          MakeStreamHeader(HeaderField(header, "Request-Id")) + "0\r\n\r\n");
+    });
+    instance_->OnTargetLost(
+        [&](const TargetLoss&, uint64_t, LossAudience) { ++n_lost; });
+    EXPECT_EQ(std::string("1,2,3,end"), EventIdsOf(ReadStream("r1", "")));
+    EXPECT_EQ(0, n_lost.load());
+  }
+
   // The table service is away: each stream begins at the base version. Once it
   // stores records again, streams of the other version begin after theirs.
   void TestFirstEventWaitsForItsRecordOrTheStreamBeginsAtTheBase() {
@@ -1819,6 +1873,42 @@
     AddEngines(static_cast<int>(versions_.size()), script);
   }
 
+  /// Starts engines at which a stream has three events. To a request for
+  /// /stream/I after its last event, they answer `rests[I]`, and close the
+  /// connection unless the answer has an end.
+  void UseEnginesWithRests(const std::vector<std::string>& rests,
+                           std::atomic<int>* n_lost) {
+    AddEngines(4, [this, rests](LoopbackConnection& connection,
+                                const std::string& header) {
+      if (HeaderField(header, "After-Event").empty()) {
+        return Serve(connection, header, 3, 3);
+      }
+      constexpr std::string_view kPath = "GET /stream/";
+      const std::string& rest =
+          rests.at(static_cast<size_t>(header.at(kPath.size()) - '0'));
+      connection.Send(
+          fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nSeal: s\r\n"
+                      "Content-Type: text/event-stream\r\n{}",
+                      HeaderField(header, "Request-Id"), rest));
+      return rest.find("\r\n\r\n0\r\n") != std::string::npos ||
+             rest.starts_with("Content-Length: 0");
+    });
+    ShareStreamRecords({instance_.get()});
+    stream_records_["first"] = {"s", "v1"};
+    instance_->OnTargetLost(
+        [n_lost](const TargetLoss&, uint64_t, LossAudience) { ++*n_lost; });
+  }
+
+  /// Takes a stream up after its last event; see UseEnginesWithRests().
+  std::string TakeUpStream(size_t rest, int n) {
+    Caller caller(instance_->Port());
+    caller.SendRequest("GET", fmt::format("/stream/{}", rest),
+                       fmt::format("again-{}-{}", rest, n),
+                       "Connection: close\r\nAfter-Event: 3\r\n"
+                       "Resumed-Id: first\r\n");
+    return caller.connection->ReadUntil("\r\n0\r\n\r\n", kStreamMs);
+  }
+
   /// Makes the instances share their records of streams.
   void ShareStreamRecords(const std::vector<Instance*>& instances) {
     for (Instance* it : instances) {
