Look through own stream records only when a service begins to need rows

Cause: with each list of targets and each update, StoreRecordsOfNewReleases went through all own records, which are kept for minutes now where timeouts are long. Change: only if a service has several versions and had not before; the others stored nothing. PeerLinkTest (15) and StreamBaseTrackerTest (7) pass.

--- a/src/gateway/shared_stream_records.cc
+++ b/src/gateway/shared_stream_records.cc
@@ -255,13 +255,18 @@
       services.insert(it.first);
     }
   }
-  own_records_.ForEach(
-      now, [&](const std::string& id, const forward::StreamRecord& record) {
-        if (services.contains(record.service) &&
-            !stored_services_.contains(record.service)) {
-          Store(id, record);
-        }
-      });
+  const bool has_new_service =
+      !std::includes(stored_services_.begin(), stored_services_.end(),
+                     services.begin(), services.end());
+  if (has_new_service) {
+    own_records_.ForEach(
+        now, [&](const std::string& id, const forward::StreamRecord& record) {
+          if (services.contains(record.service) &&
+              !stored_services_.contains(record.service)) {
+            Store(id, record);
+          }
+        });
+  }
   stored_services_ = std::move(services);
 }
 
