Beside members that forget long streams, no base version is believed

Change: while streams of a service may last longer than 30 s, a member of level 1 counts as one of level 0 does for all services: no base, what has no record is refused. Rows that other instances have left count as kept for up to an hour, not two minutes, so that an instance that stops being the cleaner removes none too soon.

PeerLinkTest::TestStreamsOfMinutesAreRefusedWithAMemberThatForgetsThem was not run red: the level is new. PeerLinkTest (16), StreamRecordQueueTest (6), StreamBaseTrackerTest (7), StreamLifetimesTest (3) pass. No effect while all timeouts are 30 s or less.

--- a/src/forward/stream_lifetimes.cc
+++ b/src/forward/stream_lifetimes.cc
@@ -76,4 +76,13 @@
              : longest;
 }
 
+bool StreamLifetimes::HasLongStreams(base::Millis now) const {
+  const auto is_long = [](const auto& it) { return it.second > kMinimum; };
+  const auto is_in_force = [&](const auto& it) {
+    return now < it.second.ends_at;
+  };
+  return std::any_of(configured_.begin(), configured_.end(), is_long) ||
+         std::any_of(extensions_.begin(), extensions_.end(), is_in_force);
+}
+
 }  // namespace daisypond::forward
--- a/src/forward/stream_lifetimes.h
+++ b/src/forward/stream_lifetimes.h
@@ -43,6 +43,9 @@
   /// had its stream.
   base::Millis Longest(const std::string& service, base::Millis now) const;
 
+  /// True if streams of any service may last longer than kMinimum.
+  bool HasLongStreams(base::Millis now) const;
+
  private:
   /// A time that is longer than the configured one, and when the last stream to
   /// which it applies ends.
--- a/src/forward/stream_lifetimes_test.cc
+++ b/src/forward/stream_lifetimes_test.cc
@@ -36,7 +36,9 @@
     EXPECT(timeouts == (ServiceTimes{{"s", {120'000}}}));
     StreamLifetimes lifetimes;
     EXPECT(lifetimes.Longest("s", {0}) == StreamLifetimes::kMinimum);
+    EXPECT(!lifetimes.HasLongStreams({0}));
     lifetimes.OnConfiguration(timeouts, {0});
+    EXPECT(lifetimes.HasLongStreams({0}));
     EXPECT(lifetimes.Longest("s", {0}) == Millis{120'000});
     EXPECT(lifetimes.Longest("other", {0}) == StreamLifetimes::kMinimum);
   }
@@ -49,7 +51,9 @@
     lifetimes.OnConfiguration({{"s", {40'000}}}, {50'000});
     lifetimes.OnConfiguration({}, {60'000});
     EXPECT(lifetimes.Longest("s", {169'999}) == Millis{120'000});
+    EXPECT(lifetimes.HasLongStreams({169'999}));
     EXPECT(lifetimes.Longest("s", {170'000}) == StreamLifetimes::kMinimum);
+    EXPECT(!lifetimes.HasLongStreams({170'000}));
   }
 
   void TestCallersMayWaitLongerThanTheRoute() {
--- a/src/gateway/peer_link_test.cc
+++ b/src/gateway/peer_link_test.cc
@@ -250,6 +250,12 @@
         [this] { link_->StreamRecords().Update(base::Millis{0}, kEra); });
   }
 
+  void SetLongestTimeouts(const forward::ServiceTimes& timeouts) {
+    loop_.Post([this, timeouts] {
+      link_->StreamRecords().OnLongestTimeouts(timeouts);
+    });
+  }
+
   void SetTargets(const catalog::Targets& targets) {
     loop_.Post([this, targets] { link_->StreamRecords().OnTargets(targets); });
   }
@@ -320,6 +326,7 @@
   CPPUNIT_TEST(TestOnlyVersionOfAServiceIsTheOriginOfItsStreams);
   CPPUNIT_TEST(TestStreamsBegunBeforeAReleaseGoOn);
   CPPUNIT_TEST(TestStreamsWithoutARecordAreRefusedWithAnOlderMember);
+  CPPUNIT_TEST(TestStreamsOfMinutesAreRefusedWithAMemberThatForgetsThem);
   CPPUNIT_TEST(TestMembersShareTheLimitOfATarget);
   CPPUNIT_TEST(TestMembersShareTheSlotsOfATarget);
   CPPUNIT_TEST(TestPermitHolderIsAliveAndDiffersByTarget);
@@ -602,10 +609,20 @@
   }
 
   void TestStreamsWithoutARecordAreRefusedWithAnOlderMember() {
+    CheckBaseIsVoidBeside(0, forward::StreamLifetimes::kMinimum);
+  }
+
+  // Builds of level 1 remove rows after a minute.
+  void TestStreamsOfMinutesAreRefusedWithAMemberThatForgetsThem() {
+    CheckBaseIsVoidBeside(membership::kKeepsStreamOrigins, {120'000});
+  }
+
+  void CheckBaseIsVoidBeside(uint32_t feature_level, base::Millis longest) {
     constexpr base::Millis kTimeout{5000};
     const std::string address = FreeAddress();
     Member a("a", address, {});
     a.SetStorage("v1");
+    a.SetLongestTimeouts({{"llm", longest}});
     catalog::Targets targets;
     for (const char* it : {"v1", "v2"}) {
       targets[it].id = it;
@@ -616,7 +633,7 @@
     a.SetTargets(targets);
     a.UpdateBases();
     EXPECT_EQ(std::string("v1"), a.FindStream("before").record.version);
-    Member old("old", FreeAddress(), {address}, 0);
+    Member old("old", FreeAddress(), {address}, feature_level);
     old.Start();
     EXPECT(BecomesTrue(
         [&] {
--- a/src/gateway/shared_stream_records.cc
+++ b/src/gateway/shared_stream_records.cc
@@ -356,10 +356,13 @@
 void SharedStreamRecords::Update(std::optional<base::Millis> list_age,
                                  uint64_t era) {
   const auto peers = membership_->Table().Reachable();
-  const bool has_older_members =
-      std::any_of(peers.begin(), peers.end(), [](const auto& it) {
-        return it.feature_level < membership::kKeepsStreamOrigins;
-      });
+  const uint32_t needed_level =
+      bases_.Lifetimes().HasLongStreams(base::Clock::Now())
+          ? membership::kKeepsLongStreams
+          : membership::kKeepsStreamOrigins;
+  const bool has_older_members = std::any_of(
+      peers.begin(), peers.end(),
+      [&](const auto& it) { return it.feature_level < needed_level; });
   const base::Millis spread =
       std::max(kMinimumReadSpread,
                kReadSpreadPerMember * static_cast<int64_t>(peers.size() + 1));
--- a/src/gateway/stream_record_store.h
+++ b/src/gateway/stream_record_store.h
@@ -144,7 +144,7 @@
   static constexpr base::Millis kExpiryPeriod{50};
   /// A row that instances have left behind counts as kept for this time at most
   /// from when it is found.
-  static constexpr base::Millis kMaximumTimeLeft{120'000};
+  static constexpr base::Millis kMaximumTimeLeft{3'600'000};
 
   typename Waiters::iterator Finish(typename Waiters::iterator it,
                                     forward::RecordOutcome outcome) {
@@ -235,8 +235,7 @@
     if (!stored) {
       ReportUnreadable(row.key);
     }
-    // The clock of the writer may be wrong. A row that is still there at the
-    // next clean-up is judged again.
+    // The clock of the writer may be wrong.
     const base::Millis left =
         stored ? std::min(stored->expires_at - base::Clock::UnixNow(),
                           kMaximumTimeLeft)
