Log whether a silent target takes connections

A probe of a silent target said only whether it was alive. A call now ends as answered, unanswered (acknowledged by the target's system) or unreachable; the line 'probe' says which. No decision changes.

--- a/src/forward/engine_poll.h
+++ b/src/forward/engine_poll.h
@@ -57,8 +57,9 @@
     TargetCall call{engine.id, engine.address, "GET",
                     DialectType::kEngineReportPath, ""};
     poll_forwarder->metrics->Add(base::Counter::kProbes);
-    const std::optional<TargetAnswer> answer =
+    const CallResult result =
         co_await CallTarget(poll_forwarder, std::move(call), poll_deadline);
+    const std::optional<TargetAnswer>& answer = result.answer;
     if (answer) {
       poll_forwarder->OnResponse(
           {engine.id, engine.started_at},
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -1180,16 +1180,15 @@
     forwarder_->metrics->Add(base::Counter::kProbes);
     TargetCall call{placement.id, placement.address, "GET",
                     DialectType::kEngineReportPath, ""};
-    const std::optional<TargetAnswer> answer =
+    const CallResult result =
         co_await CallTarget(forwarder_, std::move(call), now + kProbeTimeout);
-    const bool is_alive = answer.has_value();
-    if (answer) {
-      forwarder_->OnResponse(
-          {placement.id, placement.started_at},
-          DialectType::ParseResponseHeader(answer->status, answer->fields));
+    if (result.answer) {
+      forwarder_->OnResponse({placement.id, placement.started_at},
+                             DialectType::ParseResponseHeader(
+                                 result.answer->status, result.answer->fields));
     }
-    LogProbe(placement, is_alive, Clock::Now() - now);
-    co_return is_alive;
+    LogProbe(placement, result.end, Clock::Now() - now);
+    co_return result.end == CallEnd::kAnswered;
   }
 
   Millis HeaderTimeout() const {
@@ -1927,11 +1926,11 @@
          {"left_ms", (deadline_ - Clock::Now()).count}});
   }
 
-  void LogProbe(const Placement& placement, bool is_alive, Millis took) const {
+  void LogProbe(const Placement& placement, CallEnd end, Millis took) const {
     base::Log(base::LogLevel::kInfo, "probe",
               {{"request", request_info_.id},
                {"target", placement.id},
-               {"alive", is_alive},
+               {"end", kCallEndNames.NameOf(end)},
                {"took_ms", took.count}});
   }
 
--- a/src/forward/run_copy.h
+++ b/src/forward/run_copy.h
@@ -116,8 +116,9 @@
     call.path = DialectType::kKvCopyPath;
     call.body = DialectType::KvCopyRequestBody(state->run_id, holder.address);
     forwarder->metrics->Add(base::Counter::kCopiesOnDemand);
-    const std::optional<TargetAnswer> answer = co_await CallTarget(
+    const CallResult result = co_await CallTarget(
         forwarder, std::move(call), base::Clock::Now() + kCopyCallTimeout);
+    const std::optional<TargetAnswer>& answer = result.answer;
     const base::Millis now = base::Clock::Now();
     const std::optional<std::string> id =
         answer && answer->status == kFirstSuccess
--- a/src/forward/target_call.cc
+++ b/src/forward/target_call.cc
@@ -26,7 +26,22 @@
   return text + "\r\n" + call.body;
 }
 
-net::asio::awaitable<std::optional<TargetAnswer>> ReadAnswer(
+/// Returns how far a call has got that has no complete answer.
+CallEnd EndWithoutAnswer(TargetConnection* connection, ReadStatus status) {
+  // A peer acknowledges what it has not passed on yet, but it has connected the
+  // target for the first request.
+  const bool is_acknowledged_by_target =
+      connection->Route() == ConnectionRoute::kDirect ||
+      connection->RequestCount() == 1;
+  const bool is_taken =
+      is_acknowledged_by_target && connection->IsWriteDone() &&
+      !connection->WriteError() &&
+      connection->AcknowledgedBytes() == connection->TotalBytes();
+  return status == ReadStatus::kTimedOut && is_taken ? CallEnd::kUnanswered
+                                                     : CallEnd::kUnreachable;
+}
+
+net::asio::awaitable<CallResult> ReadAnswer(
     Forwarder* forwarder,
     std::shared_ptr<TargetConnection> connection,
     base::Millis deadline) {
@@ -39,8 +54,9 @@
   }
   forwarder->path_monitor.OnAnswerRead(*connection, status);
   if (status != ReadStatus::kDone) {
+    const CallEnd end = EndWithoutAnswer(connection.get(), status);
     connection->Socket().Close();
-    co_return std::nullopt;
+    co_return CallResult{end, std::nullopt};
   }
   answer.status = reader.Status();
   answer.fields = reader.Fields();
@@ -50,13 +66,14 @@
   } else {
     connection->Socket().Close();
   }
-  co_return answer;
+  co_return CallResult{CallEnd::kAnswered, std::move(answer)};
 }
 
 }  // namespace
 
-net::asio::awaitable<std::optional<TargetAnswer>>
-CallTarget(Forwarder* forwarder, TargetCall call, base::Millis deadline) {
+net::asio::awaitable<CallResult> CallTarget(Forwarder* forwarder,
+                                            TargetCall call,
+                                            base::Millis deadline) {
   std::shared_ptr<TargetConnection> connection =
       forwarder->connection_pool.TakeIdle(
           call.target, kMaximumConnectionIdleTime, base::Clock::Now());
@@ -66,15 +83,15 @@
     const ConnectOutcome outcome =
         co_await ConnectTarget(forwarder, connection, deadline);
     if (outcome.status != ConnectStatus::kConnected) {
-      co_return std::nullopt;
+      co_return CallResult();
     }
   }
   connection->StartWrite(SerializeCall(call));
-  const auto answer = co_await ReadAnswer(forwarder, connection, deadline);
-  if (answer) {
+  CallResult result = co_await ReadAnswer(forwarder, connection, deadline);
+  if (result.answer) {
     forwarder->selector.OnBytesReceived(call.target, base::Clock::Now());
   }
-  co_return answer;
+  co_return result;
 }
 
 }  // namespace daisypond::forward
