Do not give up a stream whose engine stands still

Callers got whole streams, but two engines worked on them at once (TWICE): an engine that is sound stood still for 1.2 s; after 0.57 s its streams went on at the holder of their copy, and the engine went on with them too until it read that their connections were closed, 0.6 s later.

Cause: silence alone was enough to give up a run of which a copy exists. The end of the run was taken for granted, though a process that stands still does not read it.

Change: shortly before the silence timeout a probe is sent. If the target answers, it reads the end of the run at once; if it is unreachable, its process is gone: the stream goes on elsewhere as early as before. If its system takes the probe and its process does not answer, the run stays there for up to 2 s, at most half of the pause that callers tolerate. The same holds before the first event. Bytes that arrive during the probe keep the run.

TestStreamsThatCanGoOnElsewhereDoNotWait stated the fault (give up without a probe); it is replaced by two tests that bound the delay and the wait.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -28,6 +28,7 @@
 #include "forward/run_copy.h"
 #include "forward/run_end.h"
 #include "forward/send_tracker.h"
+#include "forward/silence_watch.h"
 #include "forward/stream_lifetimes.h"
 #include "forward/suspected_content.h"
 #include "forward/take_permit.h"
@@ -552,13 +553,24 @@
   /// Returns the time until which a stream that has begun may wait for a target
   /// or for retry budget before it is cut.
   Millis ResumeDeadline() const {
-    const Millis tolerated_pause = std::max(
+    return last_write_at_ +
+           std::min(kMaximumResumeWait,
+                    ToleratedPause() * kResumeWaitPercent / kPercentBase);
+  }
+
+  /// Returns the pause after which the caller is expected to abandon a stream.
+  Millis ToleratedPause() const {
+    return std::max(
         {kMinimumToleratedPause,
          route_->latency_objective * kToleratedPauseInLatencyObjectives,
          route_->event_gap_objective * kToleratedPauseInEventGapObjectives});
-    return last_write_at_ +
-           std::min(kMaximumResumeWait,
-                    tolerated_pause * kResumeWaitPercent / kPercentBase);
+  }
+
+  /// Returns the silence after which a process that stands still counts as
+  /// lost. The rest of the tolerated pause is needed to resume elsewhere.
+  Millis StallTimeout() const {
+    return std::min(kLongestStall,
+                    ToleratedPause() * kStallTimeoutPercent / kPercentBase);
   }
 
   net::asio::awaitable<void> Sleep(Millis span) {
@@ -1115,7 +1127,7 @@
   /// silent for too long, returns kTimedOut; a target that still takes the
   /// request is not silent. For a stream, the timeout counts only if the target
   /// also fails a probe, because prefilling the prompt at another engine costs
-  /// more than waiting.
+  /// more than waiting. A process that stands still may go on with the request.
   net::asio::awaitable<ReadStatus> ReadAnswerHeader(
       const Placement& placement,
       std::shared_ptr<TargetConnection> connection,
@@ -1125,6 +1137,8 @@
     Millis timeout = may_repeat ? HeaderTimeout() : kHeaderCheckPeriod;
     Millis now = Clock::Now();
     Millis silent_since = now;
+    // Set while probes are taken but not answered.
+    std::optional<Millis> unanswered_since;
     UploadProgress upload(connection->TotalBytes(), now);
     while (true) {
       Millis wait = silent_since + timeout - now;
@@ -1145,9 +1159,21 @@
       if (reader->HasPartialHeader()) {
         co_return co_await ReadRestOfHeader(placement, reader);
       }
-      if (may_repeat && (!route_->is_stream || !co_await IsAlive(placement))) {
+      if (may_repeat && !route_->is_stream) {
         co_return status;
       }
+      if (may_repeat) {
+        const CallEnd end = co_await ProbeTarget(
+            placement, kRecentlyHeardPeriod, kProbeTimeout);
+        unanswered_since = end == CallEnd::kUnanswered
+                               ? unanswered_since.value_or(now)
+                               : std::optional<Millis>();
+        if (end == CallEnd::kUnreachable ||
+            (unanswered_since &&
+             Clock::Now() - *unanswered_since >= StallTimeout())) {
+          co_return status;
+        }
+      }
       now = Clock::Now();
       silent_since = now;
       timeout = may_repeat ? kProbePeriod : kHeaderCheckPeriod;
@@ -1166,29 +1192,31 @@
     co_return ReadStatus::kBroken;
   }
 
-  /// True when the target has sent data recently or answers a probe.
-  net::asio::awaitable<bool> IsAlive(const Placement& placement) {
+  /// Finds out whether the target answers. One that has sent data within
+  /// `heard_period` does.
+  net::asio::awaitable<CallEnd> ProbeTarget(const Placement& placement,
+                                            Millis heard_period,
+                                            Millis timeout) {
     const Millis now = Clock::Now();
-    if (now - forwarder_->selector.LastHeardAt(placement.id) <
-        kRecentlyHeardPeriod) {
-      co_return true;
+    if (now - forwarder_->selector.LastHeardAt(placement.id) < heard_period) {
+      co_return CallEnd::kAnswered;
     }
     if (!forwarder_->MayConnectTarget() || !co_await AcquirePermit(placement)) {
       // Not known; the next probe may get a permit.
-      co_return true;
+      co_return CallEnd::kAnswered;
     }
     forwarder_->metrics->Add(base::Counter::kProbes);
     TargetCall call{placement.id, placement.address, "GET",
                     DialectType::kEngineReportPath, ""};
     const CallResult result =
-        co_await CallTarget(forwarder_, std::move(call), now + kProbeTimeout);
+        co_await CallTarget(forwarder_, std::move(call), now + timeout);
     if (result.answer) {
       forwarder_->OnResponse({placement.id, placement.started_at},
                              DialectType::ParseResponseHeader(
                                  result.answer->status, result.answer->fields));
     }
     LogProbe(placement, result.end, Clock::Now() - now);
-    co_return result.end == CallEnd::kAnswered;
+    co_return result.end;
   }
 
   Millis HeaderTimeout() const {
@@ -1686,27 +1714,23 @@
     EventSplitter splitter;
     std::optional<Millis> partial_since;
     const ConnectionReuse reuse = ChooseConnectionReuse();
-    Millis last_heard_at = Clock::Now();
-    // Set when a silence has been looked at: when to look at it again.
-    std::optional<Millis> next_check_at;
+    SilenceWatch silence(Clock::Now());
     bool has_event = false;
     ReadStatus status = ReadStatus::kMore;
     while (status == ReadStatus::kMore) {
       std::string bytes;
       const Millis timeout = has_event ? SilenceTimeout() : HeaderTimeout();
-      const Millis check_at = next_check_at.value_or(last_heard_at + timeout);
+      const Millis check_at = silence.NextCheckAt(timeout, CanResumeFromCopy());
       status = co_await reader->ReadBodyPart(
           &bytes, std::min(StreamDeadline(), check_at));
       const Millis now = Clock::Now();
       if (status == ReadStatus::kTimedOut && now >= check_at &&
-          co_await MayGoOn(placement, now - last_heard_at)) {
-        next_check_at = now + kProbePeriod;
+          co_await MayGoOn(placement, connection, timeout, &silence)) {
         status = ReadStatus::kMore;
       }
       if (!bytes.empty()) {
         forwarder_->selector.OnBytesReceived(placement.id, now);
-        last_heard_at = now;
-        next_check_at.reset();
+        silence.OnHeard(now);
       }
       std::string text;
       size_t n_events = 0;
@@ -1722,8 +1746,7 @@
           if (given_up) {
             co_return *given_up;
           }
-          last_heard_at = Clock::Now();
-          next_check_at.reset();
+          silence.OnHeard(Clock::Now());
         }
         ++last_received_event_;
         text += it.bytes;
@@ -1792,22 +1815,35 @@
     }
   }
 
-  /// True when the target of a stream, which has been silent for so long, may
-  /// go on with it.
-  net::asio::awaitable<bool> MayGoOn(const Placement& placement,
-                                     Millis silent_for) {
-    TargetSilence silence{silent_for, route_->repeatability};
+  /// True when the silent target of a stream may go on with it.
+  net::asio::awaitable<bool> MayGoOn(
+      const Placement& placement,
+      std::shared_ptr<TargetConnection> connection,
+      Millis timeout,
+      SilenceWatch* watch) {
+    TargetSilence silence{watch->DurationAt(Clock::Now()),
+                          route_->repeatability};
     silence.is_copied = CanResumeFromCopy();
     silence.is_listed = forwarder_->selector.IsSameProcess(placement);
-    const SilenceAction action = ChooseSilenceAction(silence);
+    silence.probe = watch->Probe();
+    silence.timeout = timeout;
+    silence.stall_timeout = StallTimeout();
+    SilenceAction action = ChooseSilenceAction(silence);
+    if (action == SilenceAction::kProbe) {
+      silence.probe = co_await ProbeTarget(
+          placement, kHeardJustNowPeriod,
+          silence.is_copied ? SilenceWatch::kProbeLead : kProbeTimeout);
+      silence.duration = watch->DurationAt(Clock::Now());
+      action = ChooseSilenceAction(silence);
+    }
     LogSilence(request_info_.id, placement.id, last_received_event_, silence,
                action);
-    // GCC 12 mishandles co_await in a conditional expression.
-    bool may_go_on = action == SilenceAction::kWait;
-    if (action == SilenceAction::kProbe) {
-      may_go_on = co_await IsAlive(placement);
+    if (action == SilenceAction::kGiveUp &&
+        !connection->Socket().HasUnreadBytes()) {
+      co_return false;
     }
-    co_return may_go_on;
+    watch->OnWait(Clock::Now(), silence);
+    co_return true;
   }
 
   /// True when an available engine holds a copy of the current run's KV cache
--- a/src/forward/exchange_limits.h
+++ b/src/forward/exchange_limits.h
@@ -52,6 +52,9 @@
 /// Longest time that an interrupted stream waits before it is cut, in percent
 /// of the pause after which callers are expected to abandon it.
 inline constexpr int64_t kResumeWaitPercent = 75;
+/// Silence after which a target that takes connections but does not answer
+/// counts as lost, in percent of the same pause.
+inline constexpr int64_t kStallTimeoutPercent = 50;
 /// After this many refusals by targets, the request is not sent again.
 inline constexpr int kMaximumRefusals = 4;
 /// Maximum number of late answers to earlier requests that are skipped on a
@@ -91,6 +94,9 @@
 /// A target that has sent any byte within this time counts as alive. A running
 /// stream sends an event about every 30 to 200 ms.
 inline constexpr base::Millis kRecentlyHeardPeriod{400};
+/// A target that has sent any byte within this time reads at once that a
+/// connection is closed.
+inline constexpr base::Millis kHeardJustNowPeriod{100};
 /// Time allowed for the answer to a probe. Probes need no free slot at the
 /// target and are answered within a few round trips.
 inline constexpr base::Millis kProbeTimeout{300};
--- a/src/forward/forward_test.cc
+++ b/src/forward/forward_test.cc
@@ -365,6 +365,7 @@
   CPPUNIT_TEST(TestStreamIsCutWhenNoRetryIsGranted);
   CPPUNIT_TEST(TestInterruptedStreamDoesNotReturnToALeavingEngine);
   CPPUNIT_TEST(TestSilentEngineIsReplaced);
+  CPPUNIT_TEST(TestStreamStaysAtAnEngineThatStandsStill);
   CPPUNIT_TEST(TestEventAfterASkippedIdIsNotRelayed);
   CPPUNIT_TEST(TestStreamThatCannotResumeHasNoLastChunk);
   CPPUNIT_TEST(TestSlowFirstEventIsAwaitedWhileEngineAnswersProbes);
@@ -1026,6 +1027,36 @@
     EXPECT(base::Clock::Now() - began_at < base::Millis{700});
   }
 
+  // Streams went on at a second engine while the first, which had stood still
+  // for a second, went on with them too.
+  void TestStreamStaysAtAnEngineThatStandsStill() {
+    static constexpr std::chrono::milliseconds kStall{1200};
+    for (int i = 0; i < 2; ++i) {
+      AddTarget([this, i](LoopbackConnection& connection,
+                          const std::string& header) {
+        if (header.starts_with("GET /alive")) {
+          if (i == still_engine_) {
+            const std::lock_guard wait(stall_mutex_);
+          }
+          return connection.Send(MakeAnswer(200, "", "0 0", ""));
+        }
+        if (++n_sends_ > 1) {
+          return Serve(connection, header, 4, 4);
+        }
+        connection.Send(MakeStreamHeader(HeaderField(header, "Request-Id")) +
+                        MakeEvent(1) + MakeEvent(2));
+        {
+          const std::lock_guard lock(stall_mutex_);
+          still_engine_ = i;
+          std::this_thread::sleep_for(kStall);
+        }
+        return connection.Send(MakeEvent(3) + MakeEvent(4) + "0\r\n\r\n");
+      });
+    }
+    EXPECT_EQ(std::string("1,2,3,4,end"), EventIdsOf(ReadStream("r1", "")));
+    EXPECT_EQ(1, n_sends_.load());
+  }
+
   void TestEventAfterASkippedIdIsNotRelayed() {
     AddEngines(
         2, [this](LoopbackConnection& connection, const std::string& header) {
@@ -2132,6 +2163,10 @@
   std::map<std::string, std::set<std::string>> serving_versions_;
   std::atomic<int> n_sends_ = 0;
   std::atomic<int> n_broken_off_ = 0;
+  /// Index of the engine that stands still; negative for none.
+  std::atomic<int> still_engine_ = -1;
+  /// Locked while an engine stands still.
+  std::mutex stall_mutex_;
   std::string copy_address_;
   std::string serving_target_;
   /// Index of the engine that reports a prompt in prefill; negative for none.
--- a/src/forward/target_silence_test.cc
+++ b/src/forward/target_silence_test.cc
@@ -12,7 +12,8 @@
   CPPUNIT_TEST_SUITE(TargetSilenceTest);
   CPPUNIT_TEST(TestRunOnceStreamWaitsForAListedTarget);
   CPPUNIT_TEST(TestRunOnceStreamIsGivenUpOnlyWhenItsTargetIsGone);
-  CPPUNIT_TEST(TestStreamsThatCanGoOnElsewhereDoNotWait);
+  CPPUNIT_TEST(TestStreamsThatCanGoOnElsewhereAreNotHeldUp);
+  CPPUNIT_TEST(TestStreamIsNotGivenUpWhileItsProcessStandsStill);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -30,13 +31,48 @@
     EXPECT(ChooseSilenceAction(silence) == SilenceAction::kWait);
     silence.duration = Millis{3000};
     EXPECT(ChooseSilenceAction(silence) == SilenceAction::kProbe);
+    silence.probe = CallEnd::kAnswered;
+    EXPECT(ChooseSilenceAction(silence) == SilenceAction::kWait);
+    for (const CallEnd it : {CallEnd::kUnanswered, CallEnd::kUnreachable}) {
+      silence.probe = it;
+      EXPECT(ChooseSilenceAction(silence) == SilenceAction::kGiveUp);
+    }
   }
 
-  void TestStreamsThatCanGoOnElsewhereDoNotWait() {
-    TargetSilence silence{Millis{420}, Repeatability::kResumable};
+  void TestStreamsThatCanGoOnElsewhereAreNotHeldUp() {
+    TargetSilence silence = ResumableSilence(Millis{420});
     EXPECT(ChooseSilenceAction(silence) == SilenceAction::kProbe);
+    silence.probe = CallEnd::kUnreachable;
+    EXPECT(ChooseSilenceAction(silence) == SilenceAction::kGiveUp);
+    silence.probe = CallEnd::kAnswered;
+    EXPECT(ChooseSilenceAction(silence) == SilenceAction::kWait);
     silence.is_copied = true;
     EXPECT(ChooseSilenceAction(silence) == SilenceAction::kGiveUp);
+    silence.duration = Millis{419};
+    EXPECT(ChooseSilenceAction(silence) == SilenceAction::kWait);
+  }
+
+  // Streams went on at a second engine while the first, which had been silent
+  // for a second, went on with them too.
+  void TestStreamIsNotGivenUpWhileItsProcessStandsStill() {
+    for (const bool is_copied : {false, true}) {
+      TargetSilence silence = ResumableSilence(Millis{420});
+      silence.is_copied = is_copied;
+      silence.probe = CallEnd::kUnanswered;
+      for (const int64_t ms : {420, 1200, 1999}) {
+        silence.duration = Millis{ms};
+        EXPECT(ChooseSilenceAction(silence) == SilenceAction::kWait);
+      }
+      silence.duration = kLongestStall;
+      EXPECT(ChooseSilenceAction(silence) == SilenceAction::kGiveUp);
+    }
+  }
+
+ private:
+  static TargetSilence ResumableSilence(Millis duration) {
+    TargetSilence silence{duration, Repeatability::kResumable};
+    silence.timeout = Millis{420};
+    return silence;
   }
 };
 
