End a relayed run before its stream goes on elsewhere

Cause: a run that a peer relays was left by closing the connection to the peer. If the peer is cut off from the instance it does not learn that for up to 3 s, the keep-alive time of tunnels, and lets the engine go on, while the instance sends the stream to another engine at once: two engines work on one request (TWICE).

Change: such a run is left by ending the sending direction. The next send waits for an answer of the peer (the end of the connection, or bytes), which takes a round trip, and if none comes until the peer must have noticed: 3 s, no longer than an interrupted stream waits for a target. The code is in a file of its own, end_relayed_run. Peers of older builds need not change.

Evidence: TestStreamWaitsUntilACutOffPeerHasEndedItsRun fails without the change (the runs overlap by more than 400 ms), and passes with it.

--- a/src/forward/cut_path_test.cc
+++ b/src/forward/cut_path_test.cc
@@ -272,12 +272,64 @@
 
   TunnelPeer Entry() const { return {"peer", "a", address_, true}; }
 
+  const std::string& Address() const { return address_; }
+
  private:
   Loop loop_;
   tunnel::Server server_;
   std::string address_;
 };
 
+/// A way to an address that can be cut without a sign to either end.
+class Wire {
+ public:
+  explicit Wire(std::string to)
+      : to_(std::move(to)),
+        near_([this](LoopbackConnection& from, const std::string& head) {
+          return Carry(from, head);
+        }) {}
+
+  std::string Address() const { return near_.Address(); }
+
+  void Cut() { is_cut_ = true; }
+
+  /// Closes the connections at the far end.
+  void EndFarSide() { is_ended_ = true; }
+
+ private:
+  bool Carry(LoopbackConnection& from, const std::string& head) {
+    constexpr int kPollMs = 5;
+    const size_t colon = to_.find(':');
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port =
+        htons(static_cast<uint16_t>(std::stoi(to_.substr(colon + 1))));
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    LoopbackConnection far(fd);
+    far.Send(head);
+    while (!is_ended_ && !from.IsClosed() && !far.IsClosed()) {
+      if (is_cut_) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(kPollMs));
+        continue;
+      }
+      far.Send(from.ReadUntil("", kPollMs));
+      from.Send(far.ReadUntil("", kPollMs));
+    }
+    close(fd);
+    if (is_cut_) {
+      from.ClosesWithin(kReadTimeoutMs);
+    }
+    return false;
+  }
+
+  std::string to_;
+  std::atomic<bool> is_cut_ = false;
+  std::atomic<bool> is_ended_ = false;
+  FakeTarget near_;
+};
+
 SUITE(CutPathTest) {
   CPPUNIT_TEST_SUITE(CutPathTest);
   CPPUNIT_TEST(TestRequestsAreServedThroughAPeerWhileConnectsAreRefused);
@@ -292,6 +344,7 @@
   CPPUNIT_TEST(TestCallIsNotCompleteWhenThePeerThatRelaysItEnds);
   CPPUNIT_TEST(TestStreamGoesOnWhenTheProcessOfItsTargetEnds);
   CPPUNIT_TEST(TestCallIsNotCompleteWhenTheProcessOfItsTargetEnds);
+  CPPUNIT_TEST(TestStreamWaitsUntilACutOffPeerHasEndedItsRun);
   CPPUNIT_TEST(TestUnframedAnswersEndWithTheTarget);
   CPPUNIT_TEST(TestUnframedAnswerThroughAnOlderPeerIsNotComplete);
   CPPUNIT_TEST_SUITE_END();
@@ -306,6 +359,7 @@
     is_framed_ = true;
     is_answer_held_ = false;
     n_held_ = 0;
+    held_answer_ended_at_ = Millis{};
     for (int i = 0; i < 6; ++i) {
       targets_.push_back(std::make_unique<FakeTarget>(
           [this](LoopbackConnection& connection, const std::string& header) {
@@ -468,6 +522,32 @@
     }
   }
 
+  // A peer that was cut off kept an engine working while the stream went on at
+  // another one.
+  void TestStreamWaitsUntilACutOffPeerHasEndedItsRun() {
+    constexpr Millis kPeerNoticesAfter{2800};
+    constexpr Millis kAllowedOverlap{400};
+    const RefusingAddress refusing;
+    ApplyAddress(refusing.Address());
+    Wire wire(peer_->Address());
+    instance_->SetPeers({{"cut", "a", wire.Address(), true},
+                         {"sound", "b", peer_->Address(), true}});
+    HoldUnframedAnswers();
+    std::string answer;
+    std::thread caller([&] {
+      answer = instance_->Request("GET", "/stream/a", "\r\n0\r\n\r\n");
+    });
+    WaitForHeldAnswer();
+    wire.Cut();
+    std::this_thread::sleep_for(kPeerNoticesAfter.ToChrono());
+    wire.EndFarSide();
+    caller.join();
+    EXPECT(answer.ends_with("\r\n0\r\n\r\n"));
+    WaitForEndOfHeldAnswer();
+    EXPECT(held_answer_ended_at_.load() - resumed_at_.load() <=
+           kAllowedOverlap);
+  }
+
   void TestCallIsNotCompleteWhenTheProcessOfItsTargetEnds() {
     ApplyTargetAddresses();
     HoldUnframedAnswers();
@@ -544,6 +624,12 @@
     std::this_thread::sleep_for(Millis{100}.ToChrono());
   }
 
+  void WaitForEndOfHeldAnswer() const {
+    for (int i = 0; i < 300 && held_answer_ended_at_.load() == Millis{}; ++i) {
+      std::this_thread::sleep_for(Millis{10}.ToChrono());
+    }
+  }
+
   void WaitForReports() const {
     for (int i = 0; i < 150 && instance_->n_reported == 0; ++i) {
       std::this_thread::sleep_for(Millis{10}.ToChrono());
@@ -595,12 +681,16 @@
                     is_stream ? "Content-Type: text/event-stream\r\n" : ""));
     const std::string after = HeaderField(header, "After-Event");
     const int first = after.empty() ? 1 : std::stoi(after) + 1;
+    if (!after.empty()) {
+      resumed_at_ = base::Clock::Now();
+    }
     for (int i = first; i <= 3; ++i) {
       connection.Send(is_stream ? fmt::format("id: {0}\ndata: {0}\n\n", i)
                                 : "body");
       if (is_answer_held_.exchange(false)) {
         ++n_held_;
         connection.ClosesWithin(kReadTimeoutMs);
+        held_answer_ended_at_ = base::Clock::Now();
         return false;
       }
     }
@@ -704,6 +794,10 @@
   /// False when answers end with their connection.
   std::atomic<bool> is_framed_ = true;
   std::atomic<bool> is_answer_held_ = false;
+  /// Zero until then.
+  std::atomic<Millis> held_answer_ended_at_;
+  /// When a stream last went on at a target.
+  std::atomic<Millis> resumed_at_;
   std::atomic<int> n_held_ = 0;
 };
 
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -16,6 +16,7 @@
 #include "forward/caller_connection.h"
 #include "forward/connect_target.h"
 #include "forward/dialect.h"
+#include "forward/end_relayed_run.h"
 #include "forward/engine_poll.h"
 #include "forward/event_splitter.h"
 #include "forward/exchange_limits.h"
@@ -924,11 +925,14 @@
     return send;
   }
 
-  bool MayCopyRuns() const {
-    return engine_traits_ != nullptr && route_->is_stream &&
+  /// True when the run of one target can be resumed by another.
+  bool MayResume() const {
+    return route_->is_stream &&
            route_->repeatability == catalog::Repeatability::kResumable;
   }
 
+  bool MayCopyRuns() const { return engine_traits_ != nullptr && MayResume(); }
+
   PlacementRequest CopyPlacementRequest(const Placement& placement) const {
     PlacementRequest wanted = BasePlacementRequest();
     wanted.excluded.insert(placement.id);
@@ -1013,11 +1017,25 @@
       if (connection->HasWrittenNothing() && connection->IsWriteDone()) {
         result.outcome = SendOutcome::kNotSent;
       }
-      connection->Socket().Close();
+      co_await LeaveRun(connection);
     }
     co_return result;
   }
 
+  /// Ends a run that may go on elsewhere.
+  net::asio::awaitable<void> LeaveRun(
+      std::shared_ptr<TargetConnection> connection) {
+    if (connection->Route() == ConnectionRoute::kTunnel && MayResume()) {
+      // A braced temporary in a co_await expression is destroyed twice by GCC
+      // 12.
+      std::string id = request_info_.id;
+      const Millis deadline =
+          HasStreamBegun() ? std::min(deadline_, ResumeDeadline()) : deadline_;
+      co_await EndRelayedRun(std::move(id), connection, deadline);
+    }
+    connection->Socket().Close();
+  }
+
   void CheckSendAllowed() {
     forwarder_->metrics->CheckInvariant(
         base::Invariant::kSentOnceUnlessRepeatable,
